Put cold servers to use while they are cold in a large fleet

Ruled out: the list (all changes arrived in under a second) and the cold budget alone (it gave about a turn in ten).

At fault: Fleet.pick ranked a cold server by its latency over its warmth, five times a warm one's, and dropped it where that passed half of the shortest aim. Forty gateways with seven requests a second each have one request in ten out at a server, so warm ones look idle to all of them, however busy they are together. Fleet.finish also learnt a cold server's latency as if it were warm, and expected() charged for it twice.

Where the budget is under one request, so that the turn alone keeps a cold server's share down, it is now compared as if warm, for requests whose own aim bears its pace.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -596,3 +596,24 @@
     """zone+vast, seed 3: answers of bad servers alone held the bound down, and table-views were refused."""
     assert refused_share(("s3", "s11", "s17"), 0.8) == 0
     assert refused_share(tuple(f"s{i}" for i in range(20)), 2.5) > 0.2
+
+
+def test_a_large_fleet_puts_cold_servers_to_use_while_they_are_cold():
+    """join+vast, seed 3: to each gateway the old servers looked idle; of 36 new ones 20 were never used."""
+    patient = dataclasses.replace(LOOKUP, aim=4.0, deadline=9.0)
+    cold = tuple(api.Server(f"c{i}", zone="a", started=110.0) for i in range(12))
+    counts = {}
+    for aim in (LOOKUP, patient):
+        d = Drive(settings(gateways=40, classes=(aim,), second_copies=False))
+        d.give(servers(*[f"w{i}" for i in range(8)]))
+        for step in range(140):
+            if step == 100:
+                d.give(api.ServerList(api.ListKind.CHANGES, 2, cold))
+            d.request(customer=step, time_left=aim.deadline)
+            d.run(0.1)
+            for r in [r for r in d.sent if d.out(r)]:
+                if d.now - d.sent[r][0][1] >= (0.6 if d.sent[r][0][0][0] == "c" else 0.12):
+                    d.end(r)
+        counts[aim.aim] = sum(tries[0][0][0] == "c" for tries in d.sent.values())
+    assert 3 <= counts[4.0] <= 20  # of 40: capacity is 12 times 0.2 to 0.5 there, 8 here
+    assert counts[1.0] < counts[4.0]  # an aim that a cold server's pace would miss goes to a warm one
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -230,33 +230,46 @@
             return wait
         return max(wait, 0.7 * (now - next(iter(b.pending.values())).sent))
 
-    def cold_room(self, b: Backend, now: float, work: float) -> bool:
-        """Guards a server that just came up by what warm ones get; by a turn where that is under one."""
-        warmth, s = self.warmth(b, now), self.settings
-        if warmth >= 1:
-            return True
+    def cold_budget(self, warmth: float) -> float:
+        """The work that a cold server may get from us in the time of its rule, by what warm ones get."""
+        s = self.settings
+        return COLD_SAFETY * s.fall_multiple * warmth * s.fall_time * self.warm_rate
+
+    def cold_room(self, b: Backend, now: float, work: float, warmth: float) -> bool:
+        """Guards a server that just came up by its budget; by a turn where that is under one request."""
+        s = self.settings
         while b.sent and b.sent[0][0] <= now - s.fall_time:
             b.sent.popleft()
-        budget = COLD_SAFETY * s.fall_multiple * warmth * s.fall_time * self.warm_rate
+        budget = self.cold_budget(warmth)
         spent = sum(w for _, w in b.sent)
         if spent or b.pending or budget >= work:
             return spent + work <= budget
         turn = zlib.crc32(b"%s %d %d" % (b.entry.server.encode(), now // s.fall_time, s.gateway))
         return turn < budget / work * 2**32
 
-    def pick(self, now: float, work: float, most: float, usable: list[Backend]) -> Backend | None:
-        """The least expected delay among servers that would answer within `most`, failures priced in."""
+    def pick(self, now: float, work: float, aim: float, usable: list[Backend]) -> Backend | None:
+        """The least expected delay among servers that would answer in time, failures priced in.
+
+        In a large fleet our own requests show little of a server's load, and an idle warm one always looks
+        better than a cold one. There a cold server's turn keeps its share down, so that once it has one it is
+        compared as if warm, for requests whose aim bears its pace.
+        """
+        most = max(LOAD_PART * self.aim, SERVE_MARGIN * self.usual * work)
         best, best_cost = None, math.inf
         if self.out > 0 and self.out + work > max(self.limit, LIMIT_FEW):
             return None
         for b in self.rng.sample(usable, SAMPLE) if len(usable) > SAMPLE else usable:
-            if b.entry.state is not State.RUNNING or not self.cold_room(b, now, work):
+            warmth = self.warmth(b, now)
+            cold = warmth < 1
+            if b.entry.state is not State.RUNNING or (cold and not self.cold_room(b, now, work, warmth)):
                 continue
             wait = self.expected(b, now, work)
-            if wait > most:
+            turn = cold and self.cold_budget(warmth) < work
+            if wait > (LOAD_PART * aim if turn else most):
                 continue
+            wait *= warmth if turn else 1.0
             far = b.entry.zone != self.settings.zone and self.settings.cross_zone_price > 0
-            jitter = JITTER if now - b.tried_at < RECOVER else GUESS
+            jitter = JITTER if turn or now - b.tried_at < RECOVER else GUESS
             cost = wait * (1 + LOCAL_GAIN * far) * (1 + jitter * self.rng.random())
             cost += FAIL_COST * max(0.0, b.failing(now, self.scale) - self.fails) * self.usual
             if cost < best_cost:
@@ -295,7 +308,7 @@
         elif result is Result.OK and self.out > self.limit / 2:
             self.limit += 1 / self.limit
         if result is Result.OK or unanswered:
-            sample = elapsed / max(attempt.load, 1.0)
+            sample = elapsed / max(attempt.load, 1.0) * self.warmth(b, attempt.sent)
             old = b.unit or self.usual
             if result is Result.OK or sample > old:
                 b.unit = old + SMOOTH * (min(sample, 4 * old) - old)
@@ -765,8 +778,7 @@
             full = most > 0 and not customer.homes and customer.open >= max(1, round(most * customer.part))
             if full or customer.ceiling_wait(job.units) > 0:
                 return False
-        most = max(LOAD_PART * self.fleet.aim, SERVE_MARGIN * self.fleet.usual * work)
-        b = self.fleet.pick(now, work, most, job.usable(self.fleet, now))
+        b = self.fleet.pick(now, work, spec.aim, job.usable(self.fleet, now))
         if b is None:
             return False
         customer.ceiling -= job.units * first
