Forget a customer whose last lease has ended

Seen when reading the slots again: Customer.idle() asked whether any slot is leased, and leases that have ended leave the table only at the next ask or release. A customer that comes once and whose release is lost kept its bucket at the home for good. A probe of 200 such customers had 200 buckets after a minute; that probe is the test. Now only leases that still run keep a bucket.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -526,6 +526,18 @@
     assert list(first.gateway.customers) == [1]
 
 
+def test_a_slot_that_nobody_gives_back_does_not_keep_its_customer():
+    """A lost release of a customer that never comes again would hold its bucket at the home for good."""
+    d = Drive(settings(gateways=40, plans=(HARD, api.Plan("open", max_open=3))))
+    for tag in range(200):
+        entry = Notes.entry(Notes.ASK, tag, 1000 + tag, 1, 1.0, 0.3, 1.0)
+        d.give(api.PeerMessage(1, Notes.write(4.0, [entry])))
+        d.run(0.01)
+    assert len(d.gateway.buckets) == 200
+    d.run(60.0)
+    assert not d.gateway.buckets
+
+
 def test_a_lost_attempt_is_no_congestion_and_leaves_its_server_in_use():
     """Guards against a fleet left idle over a few requests that fell silent: others were answered since."""
     d = Drive(settings(second_copies=False))
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -128,7 +128,8 @@
         """Whether forgetting it changes nothing: it would be made anew as full as it is."""
         p, full = self.plan, self.level >= self.most * self.part
         under = p.ceiling_rate <= 0 or self.ceiling >= p.ceiling_burst / self.spread
-        return full and under and not (self.open or self.slots.leased) and self.demand < FORGET
+        out = self.open or any(end > self.at for end in self.slots.leased.values())
+        return full and under and not out and self.demand < FORGET
 
     def share(self, now: float) -> float:
         """The share of its asks that a home will likely grant; old answers fade."""
