Answer at the drain what waits in the backlog, is read but unparsed, or comes late

Now the listener closes once nobody waits at it, commands have until the end at most and are refused at once behind it until the connections have gone, a connection has 0.2 s for its first request, and a request that is over is forgotten when the module has heard of it. What was never sent is refused, which is true and harmless.

Ruled out: lost answers in the write buffer (transports flush on close; the wait for them is now until they have gone, up to 0.1 s before the kill).

--- a/thymehinge/__main__.py
+++ b/thymehinge/__main__.py
@@ -19,6 +19,7 @@
 BACKLOG = 1024
 ACCEPT = 0.45  # s after SIGTERM for which clients still connect, by protocol, and a little more
 KILL, KILL_DEADLINE, KILL_MARGIN = 0.7, 3.0, 0.3  # s from SIGTERM to SIGKILL beside the longest deadline
+DRAIN_LOOK = 0.01  # s between looks at who is left while draining
 
 log = logging.getLogger(__name__)
 
@@ -63,16 +64,20 @@
 
 
 async def drain(driver: Driver) -> None:
-    """Accept on for a moment, then close connections between requests and end before the kill."""
+    """Accept on for a moment, then close connections between requests and end before the kill.
+
+    Clients ask on every connection that stays open. What comes now has until the end, and what is still in
+    hand then is answered; what comes after that is refused at once, until the last answers have left.
+    """
     longest = max(c.deadline for c in driver.gateway.settings.classes)
-    end = driver.clock() + min(longest, KILL_DEADLINE) + KILL - KILL_MARGIN
+    kill = driver.clock() + min(longest, KILL_DEADLINE) + KILL
+    driver.end = kill - KILL_MARGIN
     await asyncio.sleep(ACCEPT)
-    driver.clients.unlisten()
-    driver.clients.drain()
-    while driver.clients.connections and driver.clock() < end:
-        await asyncio.sleep(0.01)
+    while not driver.clients.drain() and driver.clock() < driver.end:
+        await asyncio.sleep(DRAIN_LOOK)
     driver.abandon_all()
-    await asyncio.sleep(0.05)  # for the last answers to leave
+    while not driver.clients.drain() and driver.clock() < kill - KILL_MARGIN / 3:
+        await asyncio.sleep(DRAIN_LOOK)
 
 
 def main() -> int:
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -18,6 +18,7 @@
 BAD_MOST = 8  # commands of one connection that make no sense before it is closed
 SLOW_MOST = 30.0  # s that a client may leave answers unread before it counts as gone
 STRANGER_MOST = 2.0  # s for which a connection may ask for nothing, from its start
+STRANGER_DRAIN = 0.2  # s of it while we drain: the first request of one just taken in is on its way
 PARTIAL_MOST = 2.0  # s between the first and the last byte of a command
 IDLE_LEAST, IDLE_MOST = 2.0, 10.0  # s between requests after which a connection may make way, has to close
 LINGER = 1.0  # s that a closed connection may take to read its last answers
@@ -28,7 +29,7 @@
 KEY = re.compile(rb"[!-+.-~-]{1,64}")
 CUSTOMERS = 2**33
 READ, WRITE = b"API.READ", b"API.WRITE"
-FAILED, PONG, OK = b"-ERR failed\r\n", b"+PONG\r\n", b"+OK\r\n"
+FAILED, BUSY, PONG, OK = b"-ERR failed\r\n", b"-BUSY\r\n", b"+PONG\r\n", b"+OK\r\n"
 
 log = logging.getLogger(__name__)
 
@@ -378,16 +379,18 @@
             self.listener.close()
             self.listener = None
 
-    def accept(self) -> None:
-        """Take in who waits. At the bound another makes way, whose descriptor is free a turn later."""
+    def accept(self) -> bool:
+        """Take in who waits; whether that was all. At the bound another makes way, gone a turn later."""
         for _ in range(ACCEPTS):
             if self.open >= self.most:
                 self.make_way()
                 return self.pause()
             try:
                 sock, _ = self.listener.accept()
-            except (BlockingIOError, ConnectionError):
-                return None
+            except BlockingIOError:
+                return True
+            except ConnectionError:
+                return False
             except OSError as error:
                 log.warning("accept: %s", error.strerror)
                 return self.pause()
@@ -396,12 +399,13 @@
             task = self.loop.create_task(self.take_in(sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
-        return None
+        return False
 
-    def pause(self) -> None:
+    def pause(self) -> bool:
         """Take in nobody until a connection ends, or the next sweep."""
         self.loop.remove_reader(self.listener)
         self.paused = True
+        return False
 
     def resume(self) -> None:
         if self.paused and self.listener is not None:
@@ -452,8 +456,16 @@
                 connection.unreadable("the rest of a command does not come")
         self.resume()
 
-    def drain(self) -> None:
-        """Close each connection as soon as it has nothing in hand."""
+    def drain(self) -> bool:
+        """Close what has nothing in hand, and the listener once nobody waits there; whether all have gone.
+
+        Whoever our machine has accepted may have asked already: that is ours to answer, also while it waits.
+        """
         self.draining = True
+        if self.listener is not None and self.accept():
+            self.unlisten()
+        young = self.clock() - STRANGER_DRAIN
         for connection in list(self.connections):
-            connection.flush()
+            if connection.since <= young or connection not in self.strangers:
+                connection.flush()
+        return self.listener is None and not self.open
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -13,7 +13,7 @@
 from thymehinge import interface as api
 from thymehinge.brain import Gateway
 from thymehinge.interface import Result
-from thymehinge.net.clients import FAILED, Clients, Exchange
+from thymehinge.net.clients import BUSY, FAILED, Clients, Exchange
 from thymehinge.net.config import Config
 from thymehinge.net.discovery import HostList
 from thymehinge.net.peers import Peers
@@ -59,6 +59,7 @@
         self.armed_at, self.handle = math.inf, None  # when the loop wakes us, and by which timer
         self.order = self.number = 0
         self.lag, self.busy, self.listed, self.listening = 0.0, False, False, False
+        self.end = math.inf  # when this process has to be done with all that it has taken
         if config.known is not None:
             self.on_list(config.known, api.ListKind.STORED)
         self.at(clock() + SWEEP, self.sweep)
@@ -71,14 +72,17 @@
 
     def on_request(self, exchange: Exchange) -> None:
         """A client's command; its time counts from when it was sent, so the ways and our lag come off."""
+        now = self.clock()
+        if now >= self.end:
+            return exchange.answer(BUSY)
         self.number += 1
         exchange.number = self.number
         self.exchanges[self.number] = exchange
-        left = max(0.0, exchange.wait - WAY - self.lag)
-        exchange.deadline = self.clock() + left
+        left = max(0.0, min(exchange.wait - WAY - self.lag, self.end - now))
+        exchange.deadline = now + left
         number = exchange.number  # the timer outlasts the request, and keeps no more of it than this
         self.at(exchange.deadline, lambda: self.overdue(number))
-        self.give(
+        return self.give(
             api.Request(
                 exchange.number,
                 left,
@@ -95,7 +99,6 @@
     def on_left(self, exchange: Exchange) -> None:
         """The client closed its connection: nothing is owed, and what is out is called off."""
         self.give(api.ClientGone(exchange.number))
-        self.settle(exchange)
 
     def on_outcome(
         self, attempt: Attempt, result: Result, report: dict[str, float], value: bytes | None
@@ -110,7 +113,6 @@
                 exchange.number, attempt.index, attempt.server, result, elapsed, exchange.done, report=report
             )
         )
-        self.settle(exchange)
 
     def on_list(self, hosts: HostList, kind: api.ListKind | None = None) -> None:
         """Discovery's list or changes. The module hears first: sends that waited then go elsewhere."""
@@ -137,7 +139,11 @@
             self.busy = False
 
     def step(self, event: api.Event) -> None:
-        """One event; a defect in it, or in one of its actions, fails that request and no other."""
+        """One event; a defect in it, or in one of its actions, fails that request and no other.
+
+        A request that is over is forgotten only now: until the module has heard of its end, what it has
+        decided for that request still comes to something that can be answered for.
+        """
         try:
             actions = self.gateway.handle(self.clock(), event)
         except Exception:
@@ -150,13 +156,15 @@
             except Exception:
                 log.exception("defect while doing %s", type(action).__name__)
                 self.spoiled(action)
+        if isinstance(event, (api.Outcome, api.ClientGone)):
+            self.settle(self.exchanges.get(event.request))
         return None
 
     def spoiled(self, cause: api.Event | api.Action) -> None:
         """Answer the request that a defect hit, unless the module was only told of its end."""
         exchange = self.exchanges.get(getattr(cause, "request", 0))
         if exchange is not None and not isinstance(cause, api.ClientGone):
-            self.abandon(exchange)
+            self.abandon(exchange, FAILED)
 
     # Actions.
 
@@ -196,16 +204,16 @@
 
     def refuse(self, action: api.Refuse) -> None:
         wait = math.ceil(action.after * 1000)
-        self.answer(self.exchanges.get(action.request), b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n")
+        self.answer(self.exchanges.get(action.request), b"-BUSY %d\r\n" % wait if wait > 0 else BUSY)
 
     def answer(self, exchange: Exchange | None, reply: bytes) -> None:
         if exchange is not None:
             exchange.answer(reply)
             self.settle(exchange)
 
-    def settle(self, exchange: Exchange) -> None:
+    def settle(self, exchange: Exchange | None) -> None:
         """Forget a request that is over."""
-        if exchange.done and not any(a.out for a in exchange.attempts):
+        if exchange is not None and exchange.done and not any(a.out for a in exchange.attempts):
             self.exchanges.pop(exchange.number, None)
 
     def overdue(self, number: int) -> None:
@@ -218,16 +226,16 @@
         if not exchange.done:
             self.abandon(exchange)
 
-    def abandon(self, exchange: Exchange) -> None:
-        """Answer failed and have the module forget the request."""
-        exchange.answer(FAILED)
+    def abandon(self, exchange: Exchange, reply: bytes | None = None) -> None:
+        """Answer, refused where nothing was ever sent on, and have the module forget the request."""
+        exchange.answer(reply or (FAILED if exchange.attempts else BUSY))
         for attempt in list(exchange.attempts):
             self.servers.give_up(attempt, Result.CANCELLED)
         self.give(api.ClientGone(exchange.number))
-        self.settle(exchange)
 
     def abandon_all(self) -> None:
-        """The process ends: what is still in hand is answered now or never."""
+        """The process ends: what is still in hand is answered now or never, and what still comes at once."""
+        self.end = -math.inf
         for exchange in list(self.exchanges.values()):
             if not exchange.done:
                 self.abandon(exchange)
