Call discovery on steadily while it is away, backing off only where it turns calls away

Seen in the review of the first list after an outage: follow() doubled its pause up to 1 s for any failure, and a call to a silent agent takes 1 s to fail, so that up to 2 s passed at its return before a gateway heard of it. What the agent gets at the return counts as told at once, and sends to what drains must end 2 s later. At fault: the one PAUSE_MOST for all failures. The agent's silence costs it nothing; only an answer that can't be used (503 of an overbooked service) asks for fewer calls, and there the pause still doubles.

This closes the second in which it hung on luck. The test fails on the former code.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,6 +13,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from types import SimpleNamespace
 
 import hiredis
 import pytest
@@ -116,6 +117,23 @@
     assert calls[:2] == ["/discovery/hosts"] * 2
 
 
+@pytest.mark.parametrize("away", [True, False])
+def test_discovery_that_is_away_is_called_on_and_one_that_is_overbooked_less_and_less(away, monkeypatch):
+    """Guards the rule on drains: what discovery has at its return counts as told from that moment on."""
+    pauses, sleep = [], asyncio.sleep
+
+    async def pause(seconds: float) -> None:
+        pauses.append(seconds)
+        await sleep(0)
+
+    monkeypatch.setattr("thymehinge.net.discovery.asyncio", SimpleNamespace(sleep=pause))
+    answers = [None if away else web.Response(status=503) for _ in range(6)]
+    lists, _ = heard([*answers, whole(1, ENTRY)], 1)
+    assert lists[0].version == 1
+    failed = [p for p in pauses if p >= 0.1]  # the others follow good answers
+    assert (len(failed) >= 3 and set(failed) == {0.1}) if away else failed == [0.1, 0.2, 0.4, 0.8, 1.0, 1.0]
+
+
 def test_discovery_that_moves_breaks_off_its_watch():
     """Guards the 4 s after a reload: a watch that is out at the old address may wait for longer."""
 
--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -18,10 +18,11 @@
 ANSWER = 1.0  # s that an answer may take beyond that before the agent counts as silent
 GAP = 0.02  # s between an answer and the next watch, lest one that never waits takes the processor
 PAUSE = 0.1  # s before the next call after a failed one, under the 200 ms that keep a watch
-PAUSE_MOST = 1.0  # s between calls while discovery stays away
+PAUSE_MOST = 1.0  # s between calls while what answers can't be used: it may be overbooked
 
 log = logging.getLogger(__name__)
 
+AWAY = (aiohttp.ClientConnectionError, TimeoutError, ConnectionError)  # no answer: calls cost it nothing
 STATES = {"Ready": api.State.RUNNING, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
 
 
@@ -119,6 +120,8 @@
             except Exception as error:  # whatever it was, the next call may do better
                 log.warning("discovery: %s: %s", type(error).__name__, str(error)[:200])
                 version = None
+                if isinstance(error, AWAY):  # what it has at its return counts as told from that moment on
+                    pause = PAUSE
                 await asyncio.sleep(pause)
                 pause = min(2 * pause, PAUSE_MOST)
 
