Know a home's answers by time and customer, and count no line of those who have given up

Seen in the review of what is freed and when: Gateway.given kept the last 128 answers, whatever their age, under the asker and a tag of 16 bits. A quiet home keeps them for long, and a gateway that starts anew begins at a random tag, so that an ask for another customer could be answered as the old one's at no charge; a busy one dropped an answer that was still waited for, and charged its second ask again. Now an answer is known for as long as it may be waited for, and 2 s more, and only for its customer; what is kept is bounded by what a peer takes in in that time. Slots.wait() counted requests that had given up as waiting still.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -10,7 +10,7 @@
 
 from thymehinge import Gateway
 from thymehinge import interface as api
-from thymehinge.brain import Notes
+from thymehinge.brain import Customer, Notes, Slots
 from thymehinge.interface import Result
 
 
@@ -629,3 +629,70 @@
         counts[aim.aim] = sum(tries[0][0][0] == "c" for tries in d.sent.values())
     assert 3 <= counts[4.0] <= 20  # of 40: capacity is 12 times 0.2 to 0.5 there, 8 here
     assert counts[1.0] < counts[4.0]  # an aim that a cold server's pace would miss goes to a warm one
+
+
+def waiting(place: str) -> tuple[Drive, int]:
+    """A request that waits in one of the ways there are, and would go on within the second."""
+    if place == "asked":  # of a home that has not answered yet
+        d = Drive(settings(gateways=3))
+        d.give(servers("s1", "s2"))
+        tries = [api.Request(0, 3.0, "lookup", "hard", customer, 1.0, 3) for customer in range(9)]
+        away = [t.customer for t in tries if Customer(HARD, t, d.settings, 0.0).homes[0] != 0]
+        r = d.request(customer=away[0], spread=3)
+    elif place == "held":  # in line for a slot
+        d = Drive(settings(plans=(api.Plan("open", max_open=1),)))
+        d.give(servers("s1", "s2"))
+        d.request(plan="open")
+        r = d.request(plan="open")
+    elif place == "granted":  # its tokens are on their way
+        d = Drive()
+        d.give(servers(*[f"s{i}" for i in range(12)]))
+        r = [d.request() for _ in range(9)][-1]
+    else:  # for a server, first or further on
+        d = Drive()
+        d.give(servers("s1"))
+        r = d.request() if place == "further" else 0
+        d.gateway.fleet.backends["s1"].unit = 9.0
+        if r:
+            d.end(r, Result.FULL)
+        else:
+            r = d.request()
+    return d, r
+
+
+@pytest.mark.parametrize("place", ["asked", "held", "granted", "ready", "further"])
+def test_a_request_whose_client_has_left_while_it_waited_is_not_sent_on(place):
+    """Guards the term on clients that leave: wherever the request waits, it is forgotten there."""
+    for leaves in (False, True):
+        d, r = waiting(place)
+        assert r not in d.final and not d.out(r)
+        before = len(d.sent.get(r, []))
+        if leaves:
+            d.give(api.ClientGone(r))
+        if backend := d.gateway.fleet.backends.get("s1"):
+            backend.unit = 0.0
+        for other in [o for o in d.sent if d.out(o)]:
+            d.end(other)
+        d.run(0.95)
+        assert (len(d.sent.get(r, [])) > before) != leaves
+        assert not leaves or (r not in d.gateway.jobs and not d.gateway.asks)
+
+
+def test_who_has_given_up_waiting_lengthens_no_line():
+    """Guards those who ask later: a line of requests that are over was taken for a long wait."""
+    slots = Slots(1)
+    slots.take(0.0, (0, 1), 5.0)
+    slots.line.update({(0, tag): (1.0, 5.0) for tag in range(2, 6)})
+    assert slots.wait(2.0, 0.1) == pytest.approx(0.1)
+
+
+def test_a_tag_that_a_new_process_uses_again_is_no_second_ask():
+    """Guards quotas over a restart: another customer's ask was answered as the old one's, at no charge."""
+    group = Group(3)
+    home, asker = group.all[1], group.all[0]
+    first = Notes.entry(Notes.ASK, 77, 7, 0, 1.0, 0.5, 1.0)
+    other = Notes.entry(Notes.ASK, 77, 8, 0, 8.0, 0.5, 1.0)
+    for entry in (first, first, other):
+        home.give(api.PeerMessage(asker.settings.gateway, Notes.write(4.0, [entry])))
+    assert home.gateway.buckets[7].level == pytest.approx(home.gateway.buckets[7].most - 1.0)
+    assert home.gateway.buckets[8].level < 0.5
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -28,7 +28,8 @@
 ASK_WAIT, ASK_TRIES = 0.3, 3  # s without an answer before an ask goes out again, and how often it does
 ASK_SHARE = 0.3  # weight of an answer in the share of asks that are granted
 SETTLE_LAG, MOVE_LAG, DEEPEST = 0.3, 0.05, 10.0  # s of the rate kept back for what is told late; owed at most
-SILENT, MISSES, ASKS_KEPT = 2.0, 3, 128  # s to pass over a home with so many misses in a row; answers kept
+SILENT, MISSES = 2.0, 3  # s to pass over a home with so many misses in a row
+ANSWER_LIFE = 2.0  # s beyond its wait for which a home knows an answer again: longer than all tries to ask
 LEASE = 10.0  # usual latencies for each unit after which a slot is free again, lest a lost release keeps it
 SERVE_MARGIN = 1.5  # times the class's usual latency that must be left when a held request is released
 HOLD_PART, RETRY_PART = 0.8, 0.25  # of the aim that holding and serving may plan with; of that for a retry
@@ -75,18 +76,22 @@
 
     def wait(self, now: float, usual: float) -> float:
         """About how long one who asks now would wait; 0 where a slot is free."""
-        self.leased = {w: end for w, end in self.leased.items() if end > now}
+        self.forget(now)
         taken = len(self.leased) + len(self.line)
         return usual * (taken + 1 - self.most) / self.most if taken >= self.most else 0.0
 
+    def forget(self, now: float) -> None:
+        """Drop the leases that have ended, and who has given up waiting."""
+        self.line = {who: (until, lease) for who, (until, lease) in self.line.items() if until > now}
+        self.leased = {who: end for who, end in self.leased.items() if end > now}
+
     def give_back(self, who: tuple[int, int]) -> None:
         self.leased.pop(who, None)
         self.line.pop(who, None)
 
     def next(self, now: float) -> Iterator[tuple[int, int]]:
         """Lease what is free to those who wait, in order; who has given up by now is passed over."""
-        self.line = {who: (until, lease) for who, (until, lease) in self.line.items() if until > now}
-        self.leased = {who: end for who, end in self.leased.items() if end > now}
+        self.forget(now)
         while self.line and len(self.leased) < self.most:
             who, (_, lease) = next(iter(self.line.items()))
             self.take(now, who, lease)
@@ -483,7 +488,8 @@
         self.order, self.armed, self.tag, self.born = self.rng.getrandbits(16), math.inf, 0, now
         self.gap, self.next_tell = 1 / ASK_INTAKE / max(settings.peer_messages_per_s, 1.0), now
         self.buckets: dict[int, Customer] = {}  # whole quotas of the customers whose home this gateway is
-        self.given: dict[tuple[int, int], tuple[int, float, Customer]] = {}  # answers lately given
+        # answers lately given, by asker and tag: what, for which wait, to whom, and until when it is known
+        self.given: dict[tuple[int, int], tuple[int, float, Customer, float]] = {}
         self.mute, self.missed = {}, {}  # homes passed over, until when; asks in a row they left unanswered
         self.next_second = now + 1.0
         self.outbox: dict[int, list[bytes]] = {}
@@ -697,7 +703,7 @@
         c.slots.give_back(who)
         for sender, tag in c.slots.next(now):
             if sender != self.settings.gateway:
-                self.given[sender, tag] = (Notes.GRANT, 0.0, c)
+                self.given[sender, tag] = (Notes.GRANT, 0.0, c, now + ANSWER_LIFE)
                 self.post(now, sender, Notes.GRANT, tag, c, 0.0, 0.0)
             elif (job := self.asks.get(tag)) is not None and job.place == "held":
                 self.answered(now, job, Notes.GRANT, 0.0)
@@ -727,14 +733,13 @@
         """A member's ask, a home's answer, or units that come back."""
         kind, tag, key, plan, units, wait, fill = entry
         if kind == Notes.ASK and plan < len(self.settings.plans) and units >= 0:
-            if (sender, tag) in self.given:
+            old = self.given.get((sender, tag))  # an asker that has started anew may use a tag again
+            if old is not None and old[2].key == key and old[3] > now:
                 units = 0.0  # a second answer: should its request be gone, the first brings the units back
             else:
-                c = self.bucket(now, key, self.settings.plans[plan], fill)
-                self.given[sender, tag] = (*self.grant(now, sender, tag, c, units, wait), c)
-                if len(self.given) > ASKS_KEPT:
-                    del self.given[next(iter(self.given))]
-            kind, wait, c = self.given[sender, tag]
+                c, until = self.bucket(now, key, self.settings.plans[plan], fill), now + wait + ANSWER_LIFE
+                self.given[sender, tag] = (*self.grant(now, sender, tag, c, units, wait), c, until)
+            kind, wait, c, _ = self.given[sender, tag]
             self.post(now, sender, kind, tag, c, units, wait)
         elif kind in (Notes.RETURN, Notes.USED) and key in self.buckets:
             c = self.buckets[key]
@@ -887,6 +892,7 @@
                 c.throttle = max(1.0, c.throttle * THROTTLE_CUT)
             elif c.plan.over_worth > c.plan.over_cost:
                 c.throttle = min(THROTTLE_MOST, c.throttle + THROTTLE_STEP)
+        self.given = {who: given for who, given in self.given.items() if given[3] > now}
         for kept in (self.customers, self.buckets):
             for key in [k for k, c in kept.items() if c.idle()]:
                 del kept[key]
