Judge a slow answer by its own class's aim, not by the shortest of all

At fault: Fleet.finish called an answer slow by the shortest aim of all classes times the request's work. Now an answer is held against the aim of its own class. The figure comes from the settings, and says the same at any fleet size.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -696,3 +696,18 @@
         home.give(api.PeerMessage(asker.settings.gateway, Notes.write(4.0, [entry])))
     assert home.gateway.buckets[7].level == pytest.approx(home.gateway.buckets[7].most - 1.0)
     assert home.gateway.buckets[8].level < 0.5
+
+
+def test_an_answer_within_its_own_classs_aim_is_no_congestion():
+    """roll+mass: long work was held against the shortest aim, and table-views starved at a low bound."""
+    patient = dataclasses.replace(LOOKUP, name="patient", aim=4.0, deadline=9.0)
+    d = Drive(settings(classes=(LOOKUP, patient), gateways=1))
+    d.give(servers("s1", "s2", "s3"))
+    least = d.gateway.fleet.limit
+    for step in range(60):
+        r = d.request(cls="patient", customer=step, time_left=9.0)
+        d.run(1.2)
+        d.end(r)
+        least = min(least, d.gateway.fleet.limit)
+    assert least >= 4.0
+    assert refused_share(tuple(f"s{i}" for i in range(20)), 2.5) > 0.2  # late ones still are
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -40,7 +40,7 @@
 SAMPLE = 16  # servers compared for a request, drawn anew: cost and herding stay those of a small fleet
 STALL = 0.1  # s that a timer may be late before this gateway must have stood still
 SMOOTH = 0.2  # weight of a new sample in running means
-SLOW_PART, SLOW_MOST, SLOW_USUAL = 0.45, 0.75, 4.0  # parts of that aim, usual latencies: a slow answer
+SLOW_PART, SLOW_MOST, SLOW_USUAL = 0.45, 0.75, 4.0  # parts of its aim, usual latencies: a slow answer
 SLOW_SHARE, SLOW_WEIGHT = 0.25, 0.1  # of answers slow: congestion, not chance; a new one's weight
 SLOW_SERVER = 2.0  # usual latencies from which a server is slow by itself and tells of no congestion
 LIMIT_CUT = 0.9  # of the bound on work out, kept for each slow attempt; good ones add one a round
@@ -299,7 +299,7 @@
             b.newest = max(b.newest, attempt.sent)
             for lost in [a for a in b.pending.values() if a.sent <= self.lost_before(b)]:
                 self.release(lost)
-        aim, usual = self.aim * max(1.0, work), SLOW_USUAL * self.usual * work
+        aim, usual = attempt.aim, SLOW_USUAL * self.usual * work
         unanswered = result in (Result.TIMEOUT, Result.CANCELLED) and not overtaken
         slow = elapsed > min(max(SLOW_PART * aim, usual), SLOW_MOST * aim)
         own = self.warmth(b, now) < 1 or b.unit > SLOW_SERVER * self.usual  # its slowness is its own
@@ -390,6 +390,7 @@
     sent: float
     work: float
     load: float
+    aim: float
     out: bool = True
     ran: bool = True
 
@@ -789,7 +790,7 @@
             return False
         customer.ceiling -= job.units * first
         customer.open += first
-        attempt = Attempt(b, (job.req.request, len(job.attempts)), now, work, b.load(now) + work)
+        attempt = Attempt(b, (job.req.request, len(job.attempts)), now, work, b.load(now) + work, spec.aim)
         self.fleet.send(b, now, attempt)
         job.attempts.append(attempt)
         job.place = ""
