Refuse settings that end in a traceback, and let a class have any deadline

Each is now one plain line. WAIT_MOST of clients.py allowed no class a deadline of over a minute, whatever the settings say: it is now at least twice the longest of them. The tests fail on the former code.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -384,6 +384,8 @@
     "change",
     [
         dict(gateways=0),
+        dict(gateways=10**40),
+        dict(classes=(api.RequestClass("c", aim=1.0, deadline=1.0, worth=float("inf")),)),
         dict(gateway=3),
         dict(classes=()),
         dict(max_attempts=0),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 
 import hiredis
 import pytest
-from netkit import CUSTOMER, HOST, ID, PATIENCE, Kit, command, hosts, run, served, soon
+from netkit import CUSTOMER, HOST, ID, PATIENCE, Kit, command, hosts, options, run, served, soon
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
@@ -532,6 +532,25 @@
     run(test())
 
 
+def test_a_class_may_have_any_deadline():
+    """Guards other deployments: a minute was the most that any class could allow."""
+
+    async def test() -> None:
+        settings = options()
+        settings["classes"][0] |= {"aim_s": 60.0, "give_up_s": 300.0}
+        kit = Kit(settings=settings)
+        dial, came = await kit.server()
+        kit.driver.on_list(hosts(s1=dial))
+        client = await kit.client()
+        client.write(command(fields=b"c=lookup,t=village,d=300000"))
+        server = await soon(came)
+        await server.read()
+        server.write(served(b"value"))
+        assert await client.read() == b"value"
+
+    run(test())
+
+
 def test_an_id_that_is_open_elsewhere_is_turned_away_and_the_first_served():
     """Guards two clients against each other's answers: a server drops a repeat, or answers it alike."""
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,7 +18,7 @@
 import hiredis
 import pytest
 from aiohttp import web
-from netkit import HOST, Kit, Wire, command, configuration, run, served, soon
+from netkit import HOST, Kit, Wire, command, configuration, options, run, served, soon
 
 from thymehinge import interface as api
 from thymehinge.net.config import read
@@ -213,6 +213,7 @@
         (configuration(listen="nowhere"), "listen"),
         (configuration(limits={"sockets": 3}), "limits.sockets"),
         (configuration(seed="xyz"), "seed"),
+        (configuration(settings={**options(), "discovery": ["automatic"]}), "discovery"),
         (configuration(peers=["a:b"]), "peers"),
         (configuration(known={"seq": 1, "hosts": {}}), "server list"),
         (configuration(listen="127.0.0.1:1", peer_listen="192.0.2.1:7"), "listen"),
--- a/thymehinge/interface.py
+++ b/thymehinge/interface.py
@@ -99,6 +99,9 @@
     ceiling_slack: float = 0.0
 
 
+GATEWAYS_MOST = 10**6  # of one tier: more is no figure that a deployment means
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """What a gateway is told at its start."""
@@ -140,7 +143,7 @@
                 raise ValueError(f"setting {name}: nonsensical value {value!r}")
 
         need(bool(self.classes), "classes", self.classes)
-        need(self.gateways >= 1, "gateways", self.gateways)
+        need(1 <= self.gateways <= GATEWAYS_MOST, "gateways", self.gateways)
         need(0 <= self.gateway < self.gateways, "gateway", self.gateway)
         need(self.max_attempts >= 1, "max_attempts", self.max_attempts)
         need(0 <= self.cold_share <= 1, "cold_share", self.cold_share)
@@ -162,6 +165,7 @@
         for cls in self.classes:
             need(0 < cls.aim < float("inf"), f"classes[{cls.name}].aim", cls.aim)
             need(0 < cls.deadline < float("inf"), f"classes[{cls.name}].deadline", cls.deadline)
+            need(0 <= cls.worth < float("inf"), f"classes[{cls.name}].worth", cls.worth)
             need(cls.window >= 0, f"classes[{cls.name}].window", cls.window)
         for plan in self.plans:
             for name in (
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -23,7 +23,7 @@
 IDLE_LEAST, IDLE_MOST = 2.0, 10.0  # s between requests after which a connection may make way, has to close
 LINGER = 1.0  # s that a closed connection may take to read its last answers
 ACCEPTS = 16  # connections taken in at once, lest a burst of them hold up those that are there
-WAIT_MOST = 60.0  # s that a client may want to wait: far more than any class allows
+WAIT_MOST, WAIT_PART = 60.0, 2.0  # s that a client may want to wait; at least, times the longest deadline
 HEX = re.compile(rb"[0-9a-fA-F]{16}")
 WHOLE, DECIMAL = re.compile(rb"[0-9]{1,9}"), re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,6})?")
 KEY = re.compile(rb"[!-+.-~-]{1,64}")
@@ -48,6 +48,7 @@
         }
         self.plans = {p.name.encode(): p.name for p in settings.plans}
         self.max_units, self.gateways = settings.max_units, settings.gateways
+        self.wait_most = max(WAIT_MOST, WAIT_PART * max(c.deadline for c in settings.classes))
 
 
 FIELDS = frozenset((b"c", b"t", b"d", b"k", b"r", b"units", b"spread", b"first"))
@@ -127,7 +128,7 @@
         self.units = figure(fields, b"units", DECIMAL, b"1")
         self.spread = int(figure(fields, b"spread", WHOLE, b"1"))
         self.first = int(figure(fields, b"first", WHOLE, b"0"))
-        if not (0 < self.wait <= WAIT_MOST and 0 < self.units <= known.max_units):
+        if not (0 < self.wait <= known.wait_most and 0 < self.units <= known.max_units):
             raise CommandError("d or units out of range")
         if not (1 <= self.spread <= known.gateways and self.first < known.gateways):
             raise CommandError("spread or first out of range")
--- a/thymehinge/settings.py
+++ b/thymehinge/settings.py
@@ -23,7 +23,7 @@
             raise ValueError(f"setting {path} is missing")
         return default
     if isinstance(kind, dict):
-        if node not in kind:
+        if not isinstance(node, str) or node not in kind:
             raise ValueError(f"setting {path}: unknown value {node!r}")
         return kind[node]
     if kind is float and isinstance(node, int) and not isinstance(node, bool):
