Let a peer's low bound on work out drag a high one by its deficit, not down to the few

Over all 60 logs the bound on work out had its quartiles at 3.89, 3.97, 3.99: pinned just under 4.

At fault: Gateway.on_note took min(own bound, 4) as its own whenever a peer's was under 4. One peer at 3.9 brought every gateway that heard it from 8 to 4 in one note; notes come some 29 a second, and a bound rises by one in as many answers as it is high. Harmless with three gateways, whose bounds start higher; of sixty one is always low. Now what is above the few falls in proportion, by a fifth of the peer's deficit, so that a fleet in real trouble still finds one low bound within a second, and 3.9 takes half a percent. The same at any fleet size.

Ruled out: the share of slow answers (0.09, cuts begin at 0.25); heeding a peer only with a low bound of one's own did as well, but lets gateways with few samples go on as if the fleet were well.

The test fails on the former code.

--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -713,3 +713,20 @@
         least = min(least, d.gateway.fleet.limit)
     assert least >= 4.0
     assert refused_share(tuple(f"s{i}" for i in range(20)), 2.5) > 0.2  # late ones still are
+
+
+def heard(limit: float, theirs: float, notes: int) -> float:
+    """A gateway's bound on work out after so many notes from peers with theirs."""
+    d = Drive(settings(gateways=40))
+    d.give(servers("s1", "s2"))
+    d.gateway.fleet.limit = limit
+    for _ in range(notes):
+        d.give(api.PeerMessage(1, Notes.write(theirs, [])))
+    return d.gateway.fleet.limit
+
+
+def test_a_peer_whose_bound_is_a_little_low_does_not_pin_the_whole_fleet_there():
+    """roll+mass: a bound of 8 fell to 4 at a note of a peer at 3.9, and all stayed just under 4 for good."""
+    assert heard(8.0, 3.9, 10) > 7.0
+    assert heard(8.0, 1.0, 20) < 2.0  # a fleet in trouble is still heeded
+    assert heard(1.0, 4.0, 20) > 3.5
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -726,7 +726,7 @@
             self.missed.pop(event.sender, None)
             mine, theirs = min(self.fleet.limit, LIMIT_FEW), note[0]
             if min(mine, theirs) < LIMIT_FEW:  # so low that chance decides: the fleet finds one bound
-                self.fleet.limit = mine + HEED * (theirs - mine)
+                self.fleet.limit += HEED * (theirs - mine) * self.fleet.limit / mine
             for entry in note[1]:
                 self.on_entry(now, event.sender, entry)
 
