Test further signals while draining, and a watch that has fallen silent

A second SIGTERM, SIGINT or SIGHUP in the middle of a drain leaves the held request its answer and the exit code 0; a watch that is never answered, and a whole list that is not either, are followed by another call for the whole list, with the silence told as drained.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -28,6 +28,9 @@
 ENTRY = {"host": "s1", "dial": "127.0.0.1:1", "site": "a", "block": 0, "health": "Ready", "share": 1.0}
 
 
+SILENT = "a call that is never answered"
+
+
 def whole(version: int, *entries: dict, complete: bool = True) -> web.Response:
     return web.json_response({"seq": version, "whole": complete, "hosts": list(entries)})
 
@@ -41,6 +44,8 @@
         if len(calls) > len(answers):
             await asyncio.sleep(60)
         answer = answers[len(calls) - 1]
+        if answer == SILENT:
+            await asyncio.sleep(60)
         if answer is None:
             request.transport.abort()
         return answer or web.Response()
@@ -117,6 +122,16 @@
     assert calls[:2] == ["/discovery/hosts"] * 2
 
 
+def test_a_watch_that_has_fallen_silent_is_opened_anew_with_the_whole_list(monkeypatch):
+    """Guards the rule on drains: what a silent watch misses counts as told some seconds later."""
+    monkeypatch.setattr("thymehinge.net.discovery.WATCH", 0.1)
+    monkeypatch.setattr("thymehinge.net.discovery.ANSWER", 0.2)
+    draining = whole(9, ENTRY | {"health": "Terminating"})
+    lists, calls = heard([whole(1, ENTRY), SILENT, SILENT, draining], 2)
+    assert [s.state for s in lists[1].servers] == [api.State.DRAINING]
+    assert calls[:4] == [calls[0], f"{calls[0]}?since=1&timeout_ms=100", calls[0], calls[0]]
+
+
 @pytest.mark.parametrize("away", [True, False])
 def test_discovery_that_is_away_is_called_on_and_one_that_is_overbooked_less_and_less(away, monkeypatch):
     """Guards the rule on drains: what discovery has at its return counts as told from that moment on."""
@@ -312,6 +327,29 @@
     run(test())
 
 
+@pytest.mark.parametrize("again", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_a_further_signal_while_draining_changes_nothing_for_what_is_held(tmp_path, again):
+    """Guards the planned restart: a second SIGTERM, or a new configuration, may come in the middle of it."""
+
+    async def test() -> None:
+        async with running(tmp_path / "config.json") as (process, port, came):
+            client, idle = await connect(port), await connect(port)
+            idle.write(hiredis.pack_command(("PING",)))
+            assert await idle.read() == b"PONG"
+            client.write(command())
+            held = await soon(came)
+            await held.read()
+            process.send_signal(signal.SIGTERM)
+            assert await idle.ended()  # it drains
+            process.send_signal(again)
+            held.write(served(b"held"))
+            assert await client.read() == b"held"
+            assert await client.ended()
+            assert await asyncio.to_thread(process.wait, 10) == 0
+
+    run(test())
+
+
 def test_what_would_outlast_the_kill_is_answered_before_it(tmp_path):
     """Guards against a lost request: SIGKILL heeds the longest deadline, not what a client says."""
 
