--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -25,10 +25,11 @@
 HOMES = 3  # gateways of its set that may keep a customer's bucket, in the order that all take them
 ASK_INTAKE = 0.75  # asks and answers may fill this part of what a peer takes in
 ASK_GAP = 0.25  # s that an entry may wait for others to share its message, at most
-ASK_WAIT, ASK_TRIES = 0.3, 3  # s without an answer before an ask goes out again, and how often it does
+ASK_WAIT, ASK_TRIES = 0.3, 3  # s without an answer before an ask goes out again, at most; how often it does
 ASK_SHARE = 0.3  # weight of an answer in the share of asks that are granted
 SETTLE_LAG, MOVE_LAG, DEEPEST = 0.3, 0.05, 10.0  # s of the rate kept back for what is told late; owed at most
-SILENT, MISSES, ASKS_KEPT = 2.0, 3, 128  # s to pass over a home with so many misses in a row; answers kept
+SILENT, MISSES = 2.0, 3  # s to pass over a home with so many misses in a row
+ANSWER_LIFE = 2.0  # s beyond its wait for which a home knows an answer again: longer than all tries to ask
 LEASE = 10.0  # usual latencies for each unit after which a slot is free again, lest a lost release keeps it
 SERVE_MARGIN = 1.5  # times the class's usual latency that must be left when a held request is released
 HOLD_PART, RETRY_PART = 0.8, 0.25  # of the aim that holding and serving may plan with; of that for a retry
@@ -39,7 +40,7 @@
 SAMPLE = 16  # servers compared for a request, drawn anew: cost and herding stay those of a small fleet
 STALL = 0.1  # s that a timer may be late before this gateway must have stood still
 SMOOTH = 0.2  # weight of a new sample in running means
-SLOW_PART, SLOW_MOST, SLOW_USUAL = 0.45, 0.75, 4.0  # parts of that aim, usual latencies: a slow answer
+SLOW_PART, SLOW_MOST, SLOW_USUAL = 0.45, 0.75, 4.0  # parts of its aim, usual latencies: a slow answer
 SLOW_SHARE, SLOW_WEIGHT = 0.25, 0.1  # of answers slow: congestion, not chance; a new one's weight
 SLOW_SERVER = 2.0  # usual latencies from which a server is slow by itself and tells of no congestion
 LIMIT_CUT = 0.9  # of the bound on work out, kept for each slow attempt; good ones add one a round
@@ -75,18 +76,22 @@
 
     def wait(self, now: float, usual: float) -> float:
         """About how long one who asks now would wait; 0 where a slot is free."""
-        self.leased = {w: end for w, end in self.leased.items() if end > now}
+        self.forget(now)
         taken = len(self.leased) + len(self.line)
         return usual * (taken + 1 - self.most) / self.most if taken >= self.most else 0.0
 
+    def forget(self, now: float) -> None:
+        """Drop the leases that have ended, and who has given up waiting."""
+        self.line = {who: (until, lease) for who, (until, lease) in self.line.items() if until > now}
+        self.leased = {who: end for who, end in self.leased.items() if end > now}
+
     def give_back(self, who: tuple[int, int]) -> None:
         self.leased.pop(who, None)
         self.line.pop(who, None)
 
     def next(self, now: float) -> Iterator[tuple[int, int]]:
         """Lease what is free to those who wait, in order; who has given up by now is passed over."""
-        self.line = {who: (until, lease) for who, (until, lease) in self.line.items() if until > now}
-        self.leased = {who: end for who, end in self.leased.items() if end > now}
+        self.forget(now)
         while self.line and len(self.leased) < self.most:
             who, (_, lease) = next(iter(self.line.items()))
             self.take(now, who, lease)
@@ -294,7 +299,7 @@
             b.newest = max(b.newest, attempt.sent)
             for lost in [a for a in b.pending.values() if a.sent <= self.lost_before(b)]:
                 self.release(lost)
-        aim, usual = self.aim * max(1.0, work), SLOW_USUAL * self.usual * work
+        aim, usual = attempt.aim, SLOW_USUAL * self.usual * work
         unanswered = result in (Result.TIMEOUT, Result.CANCELLED) and not overtaken
         slow = elapsed > min(max(SLOW_PART * aim, usual), SLOW_MOST * aim)
         own = self.warmth(b, now) < 1 or b.unit > SLOW_SERVER * self.usual  # its slowness is its own
@@ -385,6 +390,7 @@
     sent: float
     work: float
     load: float
+    aim: float
     out: bool = True
     ran: bool = True
 
@@ -483,7 +489,8 @@
         self.order, self.armed, self.tag, self.born = self.rng.getrandbits(16), math.inf, 0, now
         self.gap, self.next_tell = 1 / ASK_INTAKE / max(settings.peer_messages_per_s, 1.0), now
         self.buckets: dict[int, Customer] = {}  # whole quotas of the customers whose home this gateway is
-        self.given: dict[tuple[int, int], tuple[int, float, Customer]] = {}  # answers lately given
+        # answers lately given, by asker and tag: what, for which wait, to whom, and until when it is known
+        self.given: dict[tuple[int, int], tuple[int, float, Customer, float]] = {}
         self.mute, self.missed = {}, {}  # homes passed over, until when; asks in a row they left unanswered
         self.next_second = now + 1.0
         self.outbox: dict[int, list[bytes]] = {}
@@ -645,7 +652,8 @@
             return self.hold(now, job)
         self.asks[job.tag] = job
         self.post(now, job.home, Notes.ASK, job.tag, c, job.units, budget)
-        self.wake(now + ASK_WAIT + 2 * (self.next_tell - now), "asked", job.req.request)
+        patience = min(ASK_WAIT, DECIDE_PART * job.req.time_left / (ASK_TRIES + 1))
+        self.wake(now + patience + 2 * (self.next_tell - now), "asked", job.req.request)
 
     def post(self, now: float, to: int, kind: int, tag: int, c: Customer, units: float, wait: float) -> None:
         """Tell a peer: at once, or with what else comes within the gap that its intake needs."""
@@ -697,7 +705,7 @@
         c.slots.give_back(who)
         for sender, tag in c.slots.next(now):
             if sender != self.settings.gateway:
-                self.given[sender, tag] = (Notes.GRANT, 0.0, c)
+                self.given[sender, tag] = (Notes.GRANT, 0.0, c, now + ANSWER_LIFE)
                 self.post(now, sender, Notes.GRANT, tag, c, 0.0, 0.0)
             elif (job := self.asks.get(tag)) is not None and job.place == "held":
                 self.answered(now, job, Notes.GRANT, 0.0)
@@ -719,7 +727,7 @@
             self.missed.pop(event.sender, None)
             mine, theirs = min(self.fleet.limit, LIMIT_FEW), note[0]
             if min(mine, theirs) < LIMIT_FEW:  # so low that chance decides: the fleet finds one bound
-                self.fleet.limit = mine + HEED * (theirs - mine)
+                self.fleet.limit += HEED * (theirs - mine) * self.fleet.limit / mine
             for entry in note[1]:
                 self.on_entry(now, event.sender, entry)
 
@@ -727,14 +735,13 @@
         """A member's ask, a home's answer, or units that come back."""
         kind, tag, key, plan, units, wait, fill = entry
         if kind == Notes.ASK and plan < len(self.settings.plans) and units >= 0:
-            if (sender, tag) in self.given:
+            old = self.given.get((sender, tag))  # an asker that has started anew may use a tag again
+            if old is not None and old[2].key == key and old[3] > now:
                 units = 0.0  # a second answer: should its request be gone, the first brings the units back
             else:
-                c = self.bucket(now, key, self.settings.plans[plan], fill)
-                self.given[sender, tag] = (*self.grant(now, sender, tag, c, units, wait), c)
-                if len(self.given) > ASKS_KEPT:
-                    del self.given[next(iter(self.given))]
-            kind, wait, c = self.given[sender, tag]
+                c, until = self.bucket(now, key, self.settings.plans[plan], fill), now + wait + ANSWER_LIFE
+                self.given[sender, tag] = (*self.grant(now, sender, tag, c, units, wait), c, until)
+            kind, wait, c, _ = self.given[sender, tag]
             self.post(now, sender, kind, tag, c, units, wait)
         elif kind in (Notes.RETURN, Notes.USED) and key in self.buckets:
             c = self.buckets[key]
@@ -784,7 +791,7 @@
             return False
         customer.ceiling -= job.units * first
         customer.open += first
-        attempt = Attempt(b, (job.req.request, len(job.attempts)), now, work, b.load(now) + work)
+        attempt = Attempt(b, (job.req.request, len(job.attempts)), now, work, b.load(now) + work, spec.aim)
         self.fleet.send(b, now, attempt)
         job.attempts.append(attempt)
         job.place = ""
@@ -887,6 +894,7 @@
                 c.throttle = max(1.0, c.throttle * THROTTLE_CUT)
             elif c.plan.over_worth > c.plan.over_cost:
                 c.throttle = min(THROTTLE_MOST, c.throttle + THROTTLE_STEP)
+        self.given = {who: given for who, given in self.given.items() if given[3] > now}
         for kept in (self.customers, self.buckets):
             for key in [k for k, c in kept.items() if c.idle()]:
                 del kept[key]
