Tell each change within 6 s whatever failed before, and bound what is read of an answer

Seen by adding up what follow() may take from the moment discovery has a change and can be reached: a watch opened just then falls silent, two further calls fail as late as they may, a good one comes last and slowly. In net/discovery.py that was GAP 0.02 + (WATCH 2.0 + ANSWER 1.0) + pauses 0.1, 0.2, 0.4 + 3 x ANSWER = 6.72 s, and 4 x ANSWER + 3 x PAUSE_MOST = 7.0 s from a whole-list call amid failures. At fault: ANSWER, and a pause that came on top of a call that had already taken long. Also seen: a whole list that is given set the backoff back, so that a discovery that only turns watches away (503) was called about 16 times a second for good; and answer.read() took an answer that never ends into memory until its budget was over.

Ruled out with scripted peers: silence, half a head, a trickle, a reset before or in the middle of an answer with or without a length, a second try by the HTTP library, a 503 whose body never comes, a list with a bad entry and a connect that never comes up all end by the budget of their call.

The worst sum is now GAP + WATCH + ANSWER + PAUSE + 2 x PAUSE_MOST + ANSWER = 5.52 s, which leaves 0.48 s, of which MARGIN (0.4 s) is spoken for. More than two late failures after the call that was out do not fit; five 503 at once do. No jitter: the pauses stay exact. Watches are no more frequent.

An answer may have a twelfth of limits.memory_mb (16 MiB of 192), then it is given up with a line in the log.

--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -137,6 +137,25 @@
                     return event
 
 
+class Mute:
+    """A listener with a full backlog: further connections never come up."""
+
+    def __enter__(self) -> str:
+        self.sockets = [socket.socket()]
+        self.sockets[0].bind((HOST, 0))
+        self.sockets[0].listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.sockets[0].getsockname())
+            self.sockets.append(filler)
+        return "{}:{}".format(*self.sockets[0].getsockname())
+
+    def __exit__(self, *_: object) -> None:
+        for each in self.sockets:
+            each.close()
+
+
 async def soon(came: asyncio.Queue[Any]) -> Any:
     async with asyncio.timeout(PATIENCE):
         return await came.get()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 
 import hiredis
 import pytest
-from netkit import CUSTOMER, HOST, ID, PATIENCE, Kit, command, hosts, options, run, served, soon
+from netkit import CUSTOMER, HOST, ID, PATIENCE, Kit, Mute, command, hosts, options, run, served, soon
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
@@ -25,25 +25,6 @@
         return "{}:{}".format(*probe.getsockname())
 
 
-class Mute:
-    """A listener with a full backlog: further connections never come up."""
-
-    def __enter__(self) -> str:
-        self.sockets = [socket.socket()]
-        self.sockets[0].bind((HOST, 0))
-        self.sockets[0].listen(0)
-        for _ in range(4):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self.sockets[0].getsockname())
-            self.sockets.append(filler)
-        return "{}:{}".format(*self.sockets[0].getsockname())
-
-    def __exit__(self, *_: object) -> None:
-        for each in self.sockets:
-            each.close()
-
-
 def test_a_request_goes_on_unchanged_but_for_the_time_left():
     """Guards against voided runs: servers refuse a command that no client sent in this form."""
 
--- a/thymehinge/__main__.py
+++ b/thymehinge/__main__.py
@@ -31,7 +31,7 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     driver = Driver(config, anchored_clock())
-    discovery = Discovery(driver.on_list)
+    discovery = Discovery(driver.on_list, config.memory)
     loop.add_signal_handler(signal.SIGHUP, reload, discovery)
     try:
         if config.peer_listen is not None:
--- a/thymehinge/net/config.py
+++ b/thymehinge/net/config.py
@@ -12,6 +12,7 @@
 from thymehinge.settings import read_settings, setting
 
 Address = tuple[str, int]
+MEMORY_MB = 192.0  # MiB where the configuration names no limit: the most on the operators' days
 
 
 class ConfigError(Exception):
@@ -27,6 +28,7 @@
     discovery: str
     seed: int
     sockets: int
+    memory: int  # bytes that this process may take
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -81,6 +83,7 @@
         discovery=discovery,
         seed=start,
         sockets=sockets,
+        memory=int(positive(raw, "limits.memory_mb", MEMORY_MB) * 2**20),
         peer_listen=address(optional["peer_listen"], "peer_listen") if "peer_listen" in optional else None,
         peers=tuple(address(p, "peers") for p in setting(raw, "peers", list, [])),
         peers_all=address(optional["peers_all"], "peers_all") if "peers_all" in optional else None,
--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -8,17 +8,25 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from time import monotonic
 from typing import Any
 
 import aiohttp
 
 from thymehinge import interface as api
 
+# A change counts as told 6 s after discovery had it and could be reached, whatever has failed since. In the
+# worst order a watch opened just then falls silent, FAILURES calls after it fail as late as they may, and a
+# good answer comes last and slowly: GAP + (WATCH + ANSWER) + PAUSE + FAILURES x PAUSE_MOST + ANSWER = 5.52 s.
+TOLD = 6.0  # s after which a change counts as told
+FAILURES = 2  # calls in a row that may fail after the one that was out; a third that fails late does not fit
+MARGIN = 0.4  # s of TOLD kept for our own lag: reading four answers, and timers that are late
 WATCH = 2.0  # s that a watch may wait: what it holds back counts as told only so much later
-ANSWER = 1.0  # s that an answer may take beyond that before the agent counts as silent
+ANSWER = 0.7  # s that an answer may take beyond that, from the connect to its last byte
 GAP = 0.02  # s between an answer and the next watch, lest one that never waits takes the processor
-PAUSE = 0.1  # s before the next call after a failed one, under the 200 ms that keep a watch
-PAUSE_MOST = 1.0  # s between calls while what answers can't be used: it may be overbooked
+PAUSE = 0.1  # s at least between a failed call and the next, under the 200 ms that keep a watch
+PAUSE_MOST = 1.0  # s from call to call while what answers can't be used: it may be overbooked
+SIZE_PART = 1 / 12  # of our memory that an answer's bytes may take: reading a list takes 8 times its bytes
 
 log = logging.getLogger(__name__)
 
@@ -84,10 +92,13 @@
 
 
 class Discovery:
-    """Tells every list and change for good, from the address that the configuration names at the time."""
+    """Tells every list and change for good, from the address that the configuration names at the time.
 
-    def __init__(self, tell: Callable[[HostList], None]) -> None:
-        self.tell, self.address = tell, ""
+    `memory` is what this process may take, in bytes; it bounds how much of an answer is read.
+    """
+
+    def __init__(self, tell: Callable[[HostList], None], memory: int) -> None:
+        self.tell, self.size_most, self.address = tell, int(memory * SIZE_PART), ""
         self.task: asyncio.Task[None] | None = None
 
     def move(self, address: str) -> None:
@@ -96,43 +107,55 @@
             return
         self.stop()
         self.address = address
-        self.task = asyncio.get_running_loop().create_task(follow(address, self.tell))
+        self.task = asyncio.get_running_loop().create_task(follow(address, self.tell, self.size_most))
 
     def stop(self) -> None:
         if self.task is not None:
             self.task.cancel()
 
 
-async def follow(address: str, tell: Callable[[HostList], None]) -> None:
-    """Tell what one address has; a failure of any kind means asking for the whole list again."""
+async def follow(address: str, tell: Callable[[HostList], None], size_most: int) -> None:
+    """Tell what one address has; after a failure of any kind ask for the whole list again, with backoff."""
     url, version, pause = f"http://{address}/discovery/hosts", None, PAUSE
     connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
-    timeout = aiohttp.ClientTimeout(total=WATCH + ANSWER, sock_connect=ANSWER)
-    async with aiohttp.ClientSession(connector=connector, timeout=timeout, trust_env=False) as session:
+    async with aiohttp.ClientSession(connector=connector, trust_env=False) as session:
         while True:
+            started = monotonic()
             try:
-                hosts = read_list(await ask(session, url, version))
+                hosts = read_list(await ask(session, url, version, size_most))
                 tell(hosts)
                 if hosts.bad:
                     raise ValueError(f"{hosts.bad[0]}; {len(hosts.bad)} such entries are passed over")
-                version, pause = hosts.version, PAUSE
+                if version is not None:  # a whole list alone proves little: watches may be turned away yet
+                    pause = PAUSE
+                version = hosts.version
                 await asyncio.sleep(GAP)
             except Exception as error:  # whatever it was, the next call may do better
                 log.warning("discovery: %s: %s", type(error).__name__, str(error)[:200])
                 version = None
                 if isinstance(error, AWAY):  # what it has at its return counts as told from that moment on
                     pause = PAUSE
-                await asyncio.sleep(pause)
+                await asyncio.sleep(max(PAUSE, pause - (monotonic() - started)))
                 pause = min(2 * pause, PAUSE_MOST)
 
 
-async def ask(session: aiohttp.ClientSession, url: str, version: int | None) -> Any:
+async def ask(session: aiohttp.ClientSession, url: str, version: int | None, size_most: int) -> Any:
     """One call: a watch where a version is held, else the whole list, which comes at once."""
-    if version is None:
-        params, timeout = {}, aiohttp.ClientTimeout(total=ANSWER)
-    else:
+    params, budget = {}, ANSWER
+    if version is not None:
         params = {"since": str(version), "timeout_ms": str(round(WATCH * 1000))}
-        timeout = session.timeout
+        budget += WATCH
+    timeout = aiohttp.ClientTimeout(total=budget, sock_connect=ANSWER)
     async with session.get(url, params=params, timeout=timeout) as answer:
         answer.raise_for_status()
-        return json.loads(await answer.read())
+        return json.loads(await read_body(answer, size_most))
+
+
+async def read_body(answer: aiohttp.ClientResponse, size_most: int) -> bytearray:
+    """An answer's body; ValueError once it is longer than it may be: it may never end."""
+    body = bytearray()
+    async for piece in answer.content.iter_any():
+        body += piece
+        if len(body) > size_most:
+            raise ValueError(f"server list: given up after {len(body)} bytes, {size_most} are the most")
+    return body
