Be ready without a first list once discovery has had 3 s to give one

Seen: a gateway started with no `known` list, or with an empty one, while discovery is refused or silent never answers +PONG; in the tests it had not after 10 s. The line is `Driver.ready()`, `listed and listening`: `listed` waits for a list without a bound. Ruled out: an old known list (ready at the first PING, refused and silent alike), and the module, which needs no list to answer: it holds a request to the time by which it decides, and refuses it.

Change: `listening` is the time since which everything listens and discovery is called; without a list the gateway counts as ready FIRST_LIST (3 s) after it. Two calls that are never answered end within it, so discovery that answers is waited for, and some 7 s of the 10 s are left for a start on shared cores. A list that comes later is served from at once.

Tests: ready after the bound, what is asked then refused with -BUSY and served once the list is in (processes; no list and refused, empty list and silent), and the bound itself by a clock that stands still: these four fail without the bound. The clock's two and the one that waits for a first list fail with a bound of 0. The two on an old list hold before and after.

--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -99,7 +99,7 @@
     def __init__(self, **changes: Any) -> None:
         clock, self.ahead = anchored_clock(), 0.0  # s by which the gateway's clock has been put on
         self.driver = Driver(read(configuration(**changes), {}), lambda: clock() + self.ahead)
-        self.driver.listening = True
+        self.driver.listening = self.driver.clock()
         self.events: asyncio.Queue[api.Event] = asyncio.Queue()
         handle = self.driver.gateway.handle
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,11 +18,12 @@
 import hiredis
 import pytest
 from aiohttp import web
-from netkit import HOST, Kit, Wire, command, configuration, options, run, served, soon
+from netkit import HOST, PATIENCE, Kit, Wire, command, configuration, options, run, served, soon
 
 from thymehinge import interface as api
 from thymehinge.net.config import read
-from thymehinge.net.discovery import Discovery, HostList, follow
+from thymehinge.net.discovery import Discovery, HostList, follow, read_list
+from thymehinge.net.driver import FIRST_LIST
 
 ROOT = Path(__file__).parent.parent
 ENTRY = {"host": "s1", "dial": "127.0.0.1:1", "site": "a", "block": 0, "health": "Ready", "share": 1.0}
@@ -35,8 +36,8 @@
     return web.json_response({"seq": version, "whole": complete, "hosts": list(entries)})
 
 
-async def discovery(answers: list) -> tuple[str, list[str]]:
-    """An agent with an answer (or what makes one) for each call, silent after the last; the calls it saw."""
+async def discovery(answers: list, at: socket.socket | None = None) -> tuple[str, list[str]]:
+    """An agent with an answer for each call, silent after the last, at a socket or a new one; its calls."""
     calls: list[str] = []
 
     async def handle(request: web.Request) -> web.StreamResponse:
@@ -54,7 +55,7 @@
     app.router.add_get("/discovery/hosts", handle)
     runner = web.AppRunner(app, shutdown_timeout=0.1)
     await runner.setup()
-    site = web.TCPSite(runner, HOST, 0)
+    site = web.SockSite(runner, at) if at else web.TCPSite(runner, HOST, 0)
     await site.start()
     return "{}:{}".format(*site._server.sockets[0].getsockname()), calls
 
@@ -245,16 +246,19 @@
 
 
 @asynccontextmanager
-async def running(path: Path, **environ: str) -> AsyncIterator[Running]:
-    """The program with one server: its process, its port and the connections that the server gets."""
+async def running(path: Path, *known: dict | None, **environ: str) -> AsyncIterator[Running]:
+    """The program with one server: its process, its port and the connections that the server gets.
+
+    It knows that server, discovery being down, unless it is told of another known list, or none.
+    """
     came: asyncio.Queue[Wire] = asyncio.Queue()
     server = await asyncio.start_server(lambda r, w: came.put_nowait(Wire(r, w)), HOST, 0)
     dial = "{}:{}".format(*server.sockets[0].getsockname())
     with socket.socket() as free:
         free.bind((HOST, 0))
         port = free.getsockname()[1]
-    known = {"seq": 1, "whole": True, "hosts": [ENTRY | {"dial": dial}]}
-    config = configuration(listen=f"{HOST}:{port}", discovery=f"{HOST}:1", known=known)
+    mine = {"seq": 1, "whole": True, "hosts": [ENTRY | {"dial": dial}]}
+    config = configuration(listen=f"{HOST}:{port}", discovery=f"{HOST}:1", known=[*known, mine][0])
     for cls in config["settings"]["classes"]:
         cls["give_up_s"] = 1.0
     process = start(path, config, **environ)
@@ -367,6 +371,119 @@
     run(test())
 
 
+PING = hiredis.pack_command(("PING",))
+EMPTY = {"seq": 1, "whole": True, "hosts": []}
+
+
+def down(silent: bool) -> tuple[socket.socket, str]:
+    """Where discovery will be and is not yet: calls are refused, or taken and never answered."""
+    at = socket.socket()
+    at.bind((HOST, 0))
+    if silent:
+        at.listen()
+    return at, "{}:{}".format(*at.getsockname())
+
+
+async def admitted(port: int) -> Wire:
+    """A connection on which the gateway has said that it is ready."""
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            client = await connect(port)
+            client.write(PING)
+            if await client.read() == b"PONG":
+                return client
+            client.writer.close()
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_an_old_list_serves_while_discovery_is_down(tmp_path, silent):
+    """Guards the restart: the first answer to PING is +PONG, and what asks then is served."""
+
+    async def test() -> None:
+        at, address = down(silent)
+        async with running(tmp_path / "config.json", EDGE_DISCOVERY=address) as (_, port, came):
+            client = await connect(port)
+            client.write(PING + command())
+            assert await client.read() == b"PONG"
+            held = await soon(came)
+            await held.read()
+            held.write(served(b"old"))
+            assert await client.read() == b"old"
+        at.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize(("known", "silent"), [(None, False), (EMPTY, True)])
+def test_without_a_list_it_is_ready_after_a_while_refuses_and_serves_once_there_is_one(
+    tmp_path, known, silent
+):
+    """Guards the restart with discovery down: what comes is answered in time, and nothing is lost."""
+
+    async def test() -> None:
+        at, address = down(silent)
+        server = asyncio.Queue()
+        listener = await asyncio.start_server(lambda r, w: server.put_nowait(Wire(r, w)), HOST, 0)
+        entry = ENTRY | {"dial": "{}:{}".format(*listener.sockets[0].getsockname())}
+        async with running(tmp_path / "config.json", known, EDGE_DISCOVERY=address) as (_, port, _):
+            client = await admitted(port)
+            client.write(command(fields=b"c=lookup,t=village,d=300"))
+            assert str(await client.read()).startswith("BUSY")
+            _, calls = await discovery([whole(1, entry) for _ in range(9)], at)
+            async with asyncio.timeout(PATIENCE):
+                while not any("since" in call for call in calls):  # the list was taken in
+                    await asyncio.sleep(0)
+            client.write(command())
+            held = await soon(server)
+            await held.read()
+            held.write(served(b"new"))
+            assert await client.read() == b"new"
+
+    run(test())
+
+
+@pytest.mark.parametrize("known", [None, EMPTY])
+def test_clients_are_kept_off_until_there_is_a_list_or_its_time_is_up(known):
+    """Guards against turning clients away at a start, by a clock that stands still."""
+
+    async def test() -> None:
+        kit = Kit(known=known)
+        began = kit.driver.listening
+
+        async def ping(seconds: float) -> bool:
+            kit.driver.clock = lambda: began + seconds
+            client = await kit.client()
+            client.write(PING)
+            return await client.read() == b"PONG"
+
+        assert not await ping(0.0) and not await ping(FIRST_LIST - 0.01) and await ping(FIRST_LIST)
+        assert not await ping(0.1)
+        kit.driver.on_list(read_list({"seq": 2, "whole": True, "hosts": [ENTRY]}))
+        assert await ping(0.1)
+
+    run(test())
+
+
+def test_a_first_list_that_comes_soon_is_waited_for(tmp_path):
+    """Guards against an early +PONG: what asks a gateway that says it is ready has a server."""
+
+    async def test() -> None:
+        listener = await asyncio.start_server(lambda r, w: server.put_nowait(Wire(r, w)), HOST, 0)
+        server: asyncio.Queue[Wire] = asyncio.Queue()
+        entry = ENTRY | {"dial": "{}:{}".format(*listener.sockets[0].getsockname())}
+        address, _ = await discovery([SILENT, whole(1, entry)])  # the first call goes unanswered
+        async with running(tmp_path / "config.json", None, EDGE_DISCOVERY=address) as (_, port, _):
+            client = await admitted(port)
+            client.write(command(fields=b"c=lookup,t=village,d=1000"))
+            held = await soon(server)
+            await held.read()
+            held.write(served(b"there"))
+            assert await client.read() == b"there"
+
+    run(test())
+
+
 def test_the_variables_win_over_the_file():
     config = read(configuration(), {"EDGE_LISTEN": "127.0.0.9:7", "EDGE_DISCOVERY": "127.0.0.9:8"})
     assert config.listen == ("127.0.0.9", 7) and config.discovery == "127.0.0.9:8"
--- a/thymehinge/__main__.py
+++ b/thymehinge/__main__.py
@@ -41,7 +41,7 @@
     except OSError as error:
         raise ConfigError(f"listen or peer_listen: {error.strerror or error}") from None
     discovery.move(config.discovery)
-    driver.listening = True
+    driver.listening = driver.clock()
     log.info("gateway %s listens at %s:%d", config.name or "without a name", *config.listen)
     gc.collect()
     gc.freeze()  # what the start made stays; a collection then looks at little and pauses little
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -26,6 +26,7 @@
 SWEEP = 0.25  # s between looks at connections that have stood for long
 RESERVE = 32  # descriptors for the listener, discovery, peers, files and what is just closing
 SERVER_PART = 0.5  # of the other descriptors that connections to servers may take
+FIRST_LIST = 3.0  # s that clients are kept off for a first list: two calls that discovery leaves unanswered
 
 log = logging.getLogger(__name__)
 
@@ -58,15 +59,19 @@
         self.due: list[tuple[float, int, Due]] = []
         self.armed_at, self.handle = math.inf, None  # when the loop wakes us, and by which timer
         self.order = self.number = 0
-        self.lag, self.busy, self.listed, self.listening = 0.0, False, False, False
+        self.lag, self.busy, self.listed = 0.0, False, False
+        self.listening = math.inf  # since when everything listens, and discovery is called
         self.end = math.inf  # when this process has to be done with all that it has taken
         if config.known is not None:
             self.on_list(config.known, api.ListKind.STORED)
         self.at(clock() + SWEEP, self.sweep)
 
     def ready(self) -> bool:
-        """Whether clients may come: there is a list to serve from, and everything listens."""
-        return self.listed and self.listening
+        """Whether clients may come: everything listens, and there is a list or discovery has had its time.
+
+        Without a list requests are held and refused as the module's rules say, until one comes.
+        """
+        return self.clock() >= self.listening + (0.0 if self.listed else FIRST_LIST)
 
     # Events.
 
