Let a client who asks in at once where those who rest fill the gateway

Seen with a process that may hold 128 descriptors, filled by 96 clients that had asked once: one that newly asked was served after 1.9 s, since nobody made way before 2 s of rest. Its request counts as taken by our machine while it waits, and most deadlines are shorter. At fault, in net/clients.py: IDLE_LEAST in make_way(); its order, which closed whoever had just been taken in, the first request on its way, before those who rest; and accept(), which closed somebody as it took the last place, though nobody waited for it.

Ruled out, each held before as it does now: RESERVE and SERVER_PART (at most 87 of 128 held, with every place for clients taken and connects to silent table servers out, 14 to 17 in the idle process), calls to discovery that refuses or is silent, its return, new connections to table servers, datagrams to peers, closing connections (they count until they are gone).

Change: the bound is acted on only when somebody waits; strangers make way after 0.2 s, before that whoever has rested for longest and is not in the middle of a command, and a younger stranger only where nobody rests. Closing between requests is free by protocol: a request that crosses it is sent again.

Tests: a real process with the soft limit at limits.sockets, discovery refused and silent, filled with silent, resting and mixed clients, and with connects that never come up; they guard what held. Four tests on the listener fail on the former code; with accept() alone mended, the three on make_way() still fail.

--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -20,7 +20,8 @@
 STRANGER_MOST = 2.0  # s for which a connection may ask for nothing, from its start
 STRANGER_DRAIN = 0.2  # s of it while we drain: the first request of one just taken in is on its way
 PARTIAL_MOST = 2.0  # s between the first and the last byte of a command
-IDLE_LEAST, IDLE_MOST = 2.0, 10.0  # s between requests after which a connection may make way, has to close
+STRANGER_LEAST = 0.2  # s of it while others rest: the first request of one just taken in is on its way
+IDLE_MOST = 10.0  # s between requests after which a connection has to close
 LINGER = 1.0  # s that a closed connection may take to read its last answers
 ACCEPTS = 16  # connections taken in at once, lest a burst of them hold up those that are there
 WAIT_MOST, WAIT_PART = 60.0, 2.0  # s that a client may want to wait; at least, times the longest deadline
@@ -382,8 +383,10 @@
 
     def accept(self) -> bool:
         """Take in who waits; whether that was all. At the bound another makes way, gone a turn later."""
-        for _ in range(ACCEPTS):
+        for taken in range(ACCEPTS):
             if self.open >= self.most:
+                if taken:  # whether another one waits, the loop will tell
+                    return False
                 self.make_way()
                 return self.pause()
             try:
@@ -423,11 +426,13 @@
                 sock.close()
 
     def make_way(self) -> None:
-        """Close who has asked for nothing, else who has been idle for longest, if that is long enough."""
-        if self.strangers:
-            next(iter(self.strangers)).close()
-        elif self.idle and (connection := next(iter(self.idle))).since <= self.clock() - IDLE_LEAST:
-            connection.close()
+        """Close who has asked for nothing though it had the time, else who has been idle for longest."""
+        stranger = next(iter(self.strangers), None)
+        idle = next((c for c in self.idle if c not in self.partial), None)
+        if stranger and (not idle or stranger.since <= self.clock() - STRANGER_LEAST):
+            stranger.close()
+        elif idle:
+            idle.close()
 
     def closed(self, connection: ClientConnection) -> None:
         """A connection is closing: it is nobody's to close again, but keeps its descriptor for now."""
