--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -16,7 +16,6 @@
 from pathlib import Path
 from types import SimpleNamespace
 
-import aiohttp
 import hiredis
 import pytest
 from aiohttp import web
@@ -24,9 +23,11 @@
 
 from thymehinge import interface as api
 from thymehinge.net import discovery as discovery_module
+from thymehinge.net import http
 from thymehinge.net.config import read
 from thymehinge.net.discovery import Discovery, HostList, follow, read_list
 from thymehinge.net.driver import FIRST_LIST
+from thymehinge.net.http import HttpClient
 
 ROOT = Path(__file__).parent.parent
 ENTRY = {"host": "s1", "dial": "127.0.0.1:1", "site": "a", "block": 0, "health": "Ready", "share": 1.0}
@@ -355,18 +356,19 @@
 
 
 def test_a_watch_that_is_reset_and_asked_once_more_has_one_budget_for_both(monkeypatch):
-    """Guards the 6 s: the library repeats a call by itself where a kept connection breaks."""
+    """Guards the 6 s: a call is repeated where a kept connection breaks, on a new one with its own budget."""
     monkeypatch.setattr(discovery_module, "WATCH", 0.2)
     monkeypatch.setattr(discovery_module, "ANSWER", 0.3)
     monkeypatch.setattr(discovery_module, "PAUSE", 0.01)
     budgets: list[float | None] = []
-    timeout = aiohttp.ClientTimeout
+    timeout = asyncio.timeout
 
-    def counted(**fields: float) -> aiohttp.ClientTimeout:
-        budgets.append(fields["total"])
-        return timeout(**fields)
+    def counted(delay: float | None) -> asyncio.Timeout:
+        budgets.append(delay)
+        return timeout(delay)
 
-    monkeypatch.setattr(aiohttp, "ClientTimeout", counted)
+    patched = SimpleNamespace(timeout=counted, open_connection=asyncio.open_connection)
+    monkeypatch.setattr(http, "asyncio", patched)
 
     async def test() -> None:
         address, calls = await scripted([gives(1, ENTRY), is_reset, is_silent, gives(3, ENTRY)])
@@ -377,7 +379,7 @@
         with suppress(asyncio.CancelledError):
             await task
         assert ["since=1" in call for call in calls[:4]] == [False, True, True, False]
-        assert budgets[:3] == [0.3, 0.5, 0.3]
+        assert budgets[:6] == [0.3, 0.3, 0.5, 0.3, 0.3, 0.3]  # of a call, then of its connect
 
     run(test())
 
@@ -390,9 +392,9 @@
 
     async def test() -> None:
         with Mute() as address:
-            async with aiohttp.ClientSession() as session, asyncio.timeout(PATIENCE):
+            async with asyncio.timeout(PATIENCE):
                 with pytest.raises(discovery_module.AWAY):
-                    await discovery_module.ask(session, f"http://{address}/", version, 2**20)
+                    await discovery_module.ask(HttpClient(address, 2**20), version)
 
     run(test())
 
--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -11,9 +11,8 @@
 from time import monotonic
 from typing import Any
 
-import aiohttp
-
 from thymehinge import interface as api
+from thymehinge.net.http import HttpClient
 
 # A change counts as told 6 s after discovery had it and could be reached, whatever has failed since. In the
 # worst order a watch opened just then falls silent, FAILURES calls after it fail as late as they may, and a
@@ -30,7 +29,7 @@
 
 log = logging.getLogger(__name__)
 
-AWAY = (aiohttp.ClientConnectionError, TimeoutError, ConnectionError)  # no answer: calls cost it nothing
+AWAY = OSError  # no answer, TimeoutError among them: calls cost it nothing
 STATES = {"Ready": api.State.RUNNING, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
 
 
@@ -116,13 +115,12 @@
 
 async def follow(address: str, tell: Callable[[HostList], None], size_most: int) -> None:
     """Tell what one address has; after a failure of any kind ask for the whole list again, with backoff."""
-    url, version, pause = f"http://{address}/discovery/hosts", None, PAUSE
-    connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=60)
-    async with aiohttp.ClientSession(connector=connector, trust_env=False) as session:
+    client, version, pause = HttpClient(address, size_most), None, PAUSE
+    try:
         while True:
             started = monotonic()
             try:
-                hosts = read_list(await ask(session, url, version, size_most))
+                hosts = read_list(await ask(client, version))
                 tell(hosts)
                 if hosts.bad:
                     raise ValueError(f"{hosts.bad[0]}; {len(hosts.bad)} such entries are passed over")
@@ -137,25 +135,13 @@
                     pause = PAUSE
                 await asyncio.sleep(max(PAUSE, pause - (monotonic() - started)))
                 pause = min(2 * pause, PAUSE_MOST)
+    finally:
+        client.close()
 
 
-async def ask(session: aiohttp.ClientSession, url: str, version: int | None, size_most: int) -> Any:
+async def ask(client: HttpClient, version: int | None) -> Any:
     """One call: a watch where a version is held, else the whole list, which comes at once."""
-    params, budget = {}, ANSWER
+    target, budget = "/discovery/hosts", ANSWER
     if version is not None:
-        params = {"since": str(version), "timeout_ms": str(round(WATCH * 1000))}
-        budget += WATCH
-    timeout = aiohttp.ClientTimeout(total=budget, sock_connect=ANSWER)
-    async with session.get(url, params=params, timeout=timeout) as answer:
-        answer.raise_for_status()
-        return json.loads(await read_body(answer, size_most))
-
-
-async def read_body(answer: aiohttp.ClientResponse, size_most: int) -> bytearray:
-    """An answer's body; ValueError once it is longer than it may be: it may never end."""
-    body = bytearray()
-    async for piece in answer.content.iter_any():
-        body += piece
-        if len(body) > size_most:
-            raise ValueError(f"server list: given up after {len(body)} bytes, {size_most} are the most")
-    return body
+        target, budget = f"{target}?since={version}&timeout_ms={round(WATCH * 1000)}", WATCH + ANSWER
+    return json.loads(await client.get(target, budget, ANSWER))
