Keep what is known of a server that one whole list lacks and the next has again

Cause (an open item of the README): `Fleet.update` dropped each server that a whole list did not name, and made a new `Backend` when the next list had it: what it had been sent in the window of its rule, its load, what was out and its health began anew, so each gap in the lists gave a new cold budget.

Change: those whom a whole list lacks are kept aside for 30 s (or the rule's window, if longer), the latest 1,024 at most, and taken up again where the name comes back with the same start. GONE or another start forgets them. No request goes to them meanwhile.

--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -11,6 +11,10 @@
 
 import pytest
 from fleetkit import FleetModel
+from rules import Drive, servers, settings
+
+from thymehinge import interface as api
+from thymehinge.brain import DEPARTED_LIFE, DEPARTED_MOST
 
 SIZES, SPREADS, SEEDS = (20, 30, 200), ("even", "uneven"), range(3)
 TAIL = 1.3  # of the Pareto distribution of traffic over gateways: some see several times the mean
@@ -70,11 +74,24 @@
     day.run(5.0)
 
 
+def flapping(day: Day) -> None:
+    """After such a jump every other whole list lacks the cold servers."""
+    day.rate *= 4.0
+    day.start_cold(0.05)
+    for _ in range(12):
+        day.run(0.2)
+        day.tell(day.warm, 0.05)
+        day.run(0.06)
+        day.tell(day.warm + day.cold, 0.05)
+    day.run(0.5)
+
+
 DAYS = {  # what happens, on which fleet: the hardest that a search over several hundred fleets and days found
     steady: dict(load=0.9),
     replaced: dict(load=0.6),
     restarted: dict(load=0.9),
     jump: dict(load=0.9, cold=1, room=4, other=0.2, fall_multiple=1.5),
+    flapping: dict(load=0.7, cold=2, work=0.1, room=2, fall_time=2.5, fall_multiple=3.0),
 }
 
 
@@ -82,7 +99,7 @@
 @pytest.mark.parametrize("spread", SPREADS)
 @pytest.mark.parametrize("gateways", SIZES)
 def test_cold_servers_bear_the_sum_of_what_all_gateways_send(happens, spread, gateways):
-    """Rejections counted as borne brought 6 root of N too much."""
+    """Rejections counted as borne brought 6 root of N too much, a gap in a list taken as a new start 10."""
     worst, used, held = -math.inf, 0.0, True
     for seed in SEEDS:
         day = Day(gateways, spread, seed, **DAYS[happens])
@@ -92,3 +109,45 @@
     print(f"{happens.__name__}, {gateways} gateways, {spread}: at worst {worst:+.2f} root of N over N; "
           f"cold servers took {used:.2f} of an even share")
     assert held and used > 0
+
+
+def cold_list(*names: str, started: float = 100.0, kind: api.ListKind = api.ListKind.FULL) -> api.ServerList:
+    return api.ServerList(kind, 1, tuple(api.Server(n, started=started) for n in names))
+
+
+def with_history() -> Drive:
+    """A gateway that has one request out at a cold server, which the last whole list lacks."""
+    d = Drive(settings(peers=False, cold_share=0.9))
+    d.gateway.fleet.warm_rate = 20.0
+    d.give(cold_list("c"))
+    assert d.out(d.request())
+    d.give(servers("w"))
+    return d
+
+
+def test_a_server_that_one_whole_list_lacked_keeps_its_history():
+    d = with_history()
+    d.give(cold_list("c"))
+    b = d.gateway.fleet.backends["c"]
+    assert len(b.sent) == len(b.pending) == 1 and b.out > 0
+    d.end(1)
+    assert not b.pending and b.out == 0
+
+
+@pytest.mark.parametrize("how", ["gone", "started anew", "long ago", "too many"])
+def test_a_server_that_has_gone_is_forgotten(how):
+    d = with_history()
+    match how:
+        case "gone":
+            d.give(api.ServerList(api.ListKind.CHANGES, 2, (api.Server("c", api.State.GONE, started=100.0),)))
+        case "long ago":
+            d.run(DEPARTED_LIFE + 1.0)
+            assert not d.gateway.fleet.departed
+        case "too many":
+            for i in range(2):
+                d.give(cold_list(*[f"x{i}.{j}" for j in range(DEPARTED_MOST)]))
+            d.give(servers("w"))
+            assert len(d.gateway.fleet.departed) == DEPARTED_MOST
+    d.give(cold_list("c", started=101.0 if how == "started anew" else 100.0))
+    b = d.gateway.fleet.backends["c"]
+    assert not b.sent and not b.pending and b.out == 0
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -55,6 +55,7 @@
 FAIL_COST = 20.0  # usual latencies that a certain failure is worth when servers are compared
 LOCAL_GAIN = 0.1  # a server of our own zone may be this much slower and still be taken
 JITTER, GUESS = 0.1, 1.0  # spread in comparing servers, against herding; the same for one not tried of late
+DEPARTED_LIFE, DEPARTED_MOST = 30.0, 1024  # s, servers: what is kept of those that whole lists lack
 COLD_SAFETY = 0.5  # part of the cold budget used: capacity is guessed and work varies
 RETRY_EARN, RETRY_MOST = 0.15, 10.0  # further attempts earned by a first one, and how many may be saved up
 PATIENCE, PATIENCE_AIM = 4.0, 0.4  # usual latencies, and at least this part of the aim, before a second copy
@@ -194,6 +195,7 @@
     def __init__(self, settings: api.Settings, rng: random.Random, now: float) -> None:
         self.settings, self.rng = settings, rng
         self.backends: dict[str, Backend] = {}
+        self.departed: dict[str, tuple[float, Backend]] = {}  # whom a whole list lacked, kept until
         self.aim = min(c.aim for c in settings.classes)
         self.usual = self.aim / 6
         self.limit, self.out, self.scale, self.slow_share = LIMIT_FEW, 0.0, 1.0, 0.0
@@ -205,8 +207,14 @@
         fresh = not self.backends
         if event.kind in (api.ListKind.FULL, api.ListKind.STORED):
             listed = {s.server for s in event.servers}
-            self.backends = {n: b for n, b in self.backends.items() if n in listed}
+            until = now + max(DEPARTED_LIFE, self.settings.fall_time)
+            for name in [n for n in self.backends if n not in listed]:
+                self.departed[name] = until, self.backends.pop(name)
+            self.forget(now)
         for entry in event.servers:
+            until, known = self.departed.pop(entry.server, (now, None))
+            if known and until > now and known.entry.started == entry.started:
+                self.backends[entry.server] = known  # the last list was at fault: no new start, no new budget
             old = self.backends.get(entry.server)
             if entry.state is State.GONE:
                 self.backends.pop(entry.server, None)
@@ -218,6 +226,11 @@
         if fresh:
             self.limit = max(LIMIT_FEW, len(self.backends) * min(1.0, LIMIT_FEW / self.settings.gateways))
 
+    def forget(self, now: float) -> None:
+        """Drop the departed whose time is over, and the earliest where they are too many."""
+        kept = [(name, item) for name, item in self.departed.items() if item[0] > now]
+        self.departed = dict(kept[-DEPARTED_MOST:])
+
     def warmth(self, b: Backend, now: float) -> float:
         """The part of its capacity that a server surely has by now."""
         s, started = self.settings, b.entry.started
@@ -354,6 +367,7 @@
 
     def second(self, now: float) -> None:
         """Once a second: the usual latency of the fleet and what a warm server bears from us."""
+        self.forget(now)
         warm = [b for b in self.backends.values() if self.warmth(b, now) >= 1]
         if units := sorted(b.unit for b in warm if b.unit):
             self.usual = units[len(units) // 2]
