--- a/thymehinge/emulator/__main__.py
+++ b/thymehinge/emulator/__main__.py
@@ -8,10 +8,11 @@
 
 import click
 
+from thymehinge.emulator import hollow
 from thymehinge.emulator.slopes import Measure, PageError, Slope, faults, stated
 
 PAGE = Path("docs/CAPACITY.md")
-PARTS: dict[str, Measure] = {}  # each prints its own slopes
+PARTS: dict[str, Measure] = {"hollow": hollow.measure}  # each prints its own slopes
 
 
 def run(small: bool, seed: int, parts: tuple[str, ...]) -> list[Slope]:
