--- a/thymehinge/emulator/__main__.py
+++ b/thymehinge/emulator/__main__.py
@@ -8,11 +8,11 @@
 
 import click
 
-from thymehinge.emulator import entries, real
+from thymehinge.emulator import entries, hollow, real
 from thymehinge.emulator.slopes import Measure, PageError, Slope, faults, stated
 
 PAGE = Path("docs/CAPACITY.md")
-PARTS: dict[str, Measure] = {"entries": entries.measure, "real": real.measure}
+PARTS: dict[str, Measure] = {"entries": entries.measure, "hollow": hollow.measure, "real": real.measure}
 
 
 def run(small: bool, seed: int, parts: tuple[str, ...]) -> list[Slope]:
