--- a/thymehinge/emulator/http_discovery.py
+++ b/thymehinge/emulator/http_discovery.py
@@ -18,7 +18,7 @@
 
 HOST = "127.0.0.1"
 ZONES = ("a", "b", "c")
-NETWORK = IPv4Address("198.18.0.0")  # where table servers would be: set aside for benchmarks (RFC 2544)
+NETWORK = IPv4Address("127.64.0.0")  # where table servers would be: loopback, and nobody listens there
 ADDRESSES, FIRST_PORT = 2**17, 6379  # addresses of that network; who finds none left takes the next port
 WAIT_MOST = 60_000  # ms that a watch may wait, from the protocol page
 NUMBER = re.compile(r"[0-9]{1,15}")
