--- a/tests/fleetkit.py
+++ b/tests/fleetkit.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from itertools import accumulate
 
 from thymehinge import interface as api
 from thymehinge.brain import Gateway
+from thymehinge.emulator.clock import Clock
 from thymehinge.interface import Result
 
 WIRE = 0.002  # s one way between a gateway and a table server
@@ -50,15 +50,14 @@
     taken: list[tuple[float, float]] = field(default_factory=list)  # the same without what was rejected
 
 
-class FleetModel:
+class FleetModel(Clock):
     """Gateways, table servers and Poisson traffic; `weights` spread the traffic over the gateways."""
 
     def __init__(
         self, settings: dict[str, object], weights: Sequence[float], seed: int, rate: float, work: float = 0.2
     ) -> None:
-        self.rng, self.now, self.rate, self.work = random.Random(seed), 100.0, rate, work
-        self.heap: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
-        self.order, self.requests = 0, 0
+        super().__init__(seed)
+        self.rng, self.rate, self.work, self.requests = random.Random(seed), rate, work, 0
         self.settings = [
             api.Settings(tuple(CLASSES), (api.Plan("open"),), gateway=i, gateways=len(weights), **settings)
             for i in range(len(weights))
@@ -70,18 +69,7 @@
         self.gateways = [Gateway(s, self.rng.getrandbits(32), self.now) for s in self.settings]
         self.attempts: list[dict[int, list[Attempt]]] = [{} for _ in weights]
         self.jobs: list[dict[int, float]] = [{} for _ in weights]  # requests in hand and their work
-        self.at(0.0, self.arrive)
-
-    def at(self, delay: float, what: Callable[..., None], *args: object) -> None:
-        self.order += 1
-        heapq.heappush(self.heap, (self.now + delay, self.order, what, args))
-
-    def run(self, seconds: float) -> None:
-        until = self.now + seconds
-        while self.heap and self.heap[0][0] <= until:
-            self.now, _, what, args = heapq.heappop(self.heap)
-            what(*args)
-        self.now = until
+        self.after(0.0, self.arrive)
 
     # What a day does.
 
@@ -90,13 +78,13 @@
         entry = api.Server(name, started=self.now if cold else 0.0)
         self.servers[name] = TableServer(entry, cores, room)
         if other > 0:
-            self.at(0.0, self.foreign, self.servers[name], other * cores / self.work)
+            self.after(0.0, self.foreign, self.servers[name], other * cores / self.work)
 
     def tell(self, names: Sequence[str], spread: float = 0.0) -> None:
         """A whole list to all gateways, to each within the spread of seconds."""
         self.listed = tuple(self.servers[name].entry for name in names)
         for i in range(len(self.gateways)):
-            self.at(self.rng.uniform(0, spread), self.list_to, i, self.listed)
+            self.after(self.rng.uniform(0, spread), self.list_to, i, self.listed)
 
     def list_to(self, i: int, listed: tuple[api.Server, ...]) -> None:
         self.give(i, self.lives[i], api.ServerList(api.ListKind.FULL, 1, listed))
@@ -104,7 +92,7 @@
     def restart(self, share: float, spread: float = 0.0) -> None:
         """A share of the gateways is killed and begins anew with the list."""
         for i in self.rng.sample(range(len(self.gateways)), round(share * len(self.gateways))):
-            self.at(self.rng.uniform(0, spread), self.begin, i)
+            self.after(self.rng.uniform(0, spread), self.begin, i)
 
     def begin(self, i: int) -> None:
         self.lives[i] += 1
@@ -115,7 +103,7 @@
     # Traffic and table servers.
 
     def arrive(self) -> None:
-        self.at(self.rng.expovariate(self.rate), self.arrive)
+        self.after(self.rng.expovariate(self.rate), self.arrive)
         i = self.rng.choices(range(len(self.sums)), cum_weights=self.sums)[0]
         cls = self.rng.choices(list(CLASSES), [share for share, _ in CLASSES.values()])[0]
         self.requests += 1
@@ -124,7 +112,7 @@
         self.give(i, self.lives[i], api.Request(self.requests, cls.deadline, cls.name, "open", customer))
 
     def foreign(self, server: TableServer, rate: float) -> None:
-        self.at(self.rng.expovariate(rate), self.foreign, server, rate)
+        self.after(self.rng.expovariate(rate), self.foreign, server, rate)
         self.reach(server, Attempt(-1, self.rng.gammavariate(SHAPE, 1 / SHAPE)))
 
     def give(self, i: int, life: int, event: api.Event) -> None:
@@ -133,15 +121,15 @@
         for action in self.gateways[i].handle(self.now, event):
             match action:
                 case api.SetTimer():
-                    self.at(max(0.0, action.at - self.now), self.give, i, life, api.TimerDue(action.tag))
+                    self.after(max(0.0, action.at - self.now), self.give, i, life, api.TimerDue(action.tag))
                 case api.Send():
                     tries = self.attempts[i].setdefault(action.request, [])
                     work, server = self.jobs[i][action.request], self.servers[action.server]
                     a = Attempt(i, work, life, action.request, len(tries), action.server, self.now)
                     tries.append(a)
                     server.sent.append((self.now, work))
-                    self.at(WIRE, self.reach, server, a)
-                    self.at(action.until - self.now, self.end, a, Result.TIMEOUT)
+                    self.after(WIRE, self.reach, server, a)
+                    self.after(action.until - self.now, self.end, a, Result.TIMEOUT)
                 case api.Cancel():
                     self.end(self.attempts[i][action.request][action.attempt], Result.CANCELLED)
 
@@ -153,7 +141,7 @@
 
     def reach(self, server: TableServer, a: Attempt) -> None:
         if server.busy >= server.cores and len(server.queue) >= server.room:
-            return self.at(WIRE, self.end, a, Result.FULL)
+            return self.after(WIRE, self.end, a, Result.FULL)
         if a.gateway >= 0:
             server.taken.append((self.now, a.work))
         if server.busy < server.cores:
@@ -163,7 +151,7 @@
 
     def serve(self, server: TableServer, a: Attempt) -> None:
         server.busy += 1
-        self.at(a.work * self.work / self.warmth(server, self.now), self.served, server, a)
+        self.after(a.work * self.work / self.warmth(server, self.now), self.served, server, a)
 
     def served(self, server: TableServer, a: Attempt) -> None:
         server.busy -= 1
@@ -171,14 +159,14 @@
             following = server.queue.popleft()
             if not following.over:
                 self.serve(server, following)
-        self.at(WIRE, self.end, a, Result.OK)
+        self.after(WIRE, self.end, a, Result.OK)
 
     def end(self, a: Attempt, result: Result) -> None:
         if a.over or a.gateway < 0:
             return
         a.over, final = True, result in (Result.OK, Result.CANCELLED)
         outcome = api.Outcome(a.request, a.number, a.server, result, self.now - a.sent, final)
-        self.at(0.0, self.give, a.gateway, a.life, outcome)
+        self.after(0.0, self.give, a.gateway, a.life, outcome)
 
     # What a day showed.
 
