--- a/thymehinge/emulator/entries.py
+++ b/thymehinge/emulator/entries.py
@@ -23,10 +23,10 @@
 from thymehinge.brain import Gateway, Notes
 from thymehinge.emulator.slopes import Slope
 from thymehinge.interface import ListKind
-from thymehinge.net.clients import READ, Exchange, Known
 from thymehinge.net.config import Config
 from thymehinge.net.discovery import HostList, read_list
 from thymehinge.net.driver import Driver
+from thymehinge.net.exchange import READ, AcceptedValues, Exchange
 from thymehinge.net.servers import Servers
 
 FEW, MANY = 20, 2_000  # servers or customers; the first is the small fleet whose request is the unit
@@ -200,7 +200,7 @@
     config = Config(
         "", ("", 0), "", seed, 1024, 2**28, None, (), None, host_list(2 * GROWTH * few, rng), 15.0, 0.25, FREE
     )
-    driver, known = Driver(config, clock), Known(FREE)
+    driver, known = Driver(config, clock), AcceptedValues(FREE)
     driver.servers.start = lambda attempt: None
     client = SimpleNamespace()  # nothing is written to it while all are in hand
 
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -13,9 +13,10 @@
 from thymehinge import interface as api
 from thymehinge.brain import Gateway
 from thymehinge.interface import Result
-from thymehinge.net.clients import BUSY, FAILED, Clients, Exchange
+from thymehinge.net.clients import BUSY, FAILED, Clients
 from thymehinge.net.config import Config
 from thymehinge.net.discovery import HostList
+from thymehinge.net.exchange import Exchange
 from thymehinge.net.peers import Peers
 from thymehinge.net.servers import Attempt, Servers
 
