Answer what was taken before a client's connection ends, whatever ends it

Seen: a client whose request is out at a server writes the first bytes of its next one and is slow with the rest. After 2 s its connection ended and the first request never got its answer; the same with nonsense behind a whole request. Also: a first command written over more than 2 s ended as silence, a command begun after ten quiet seconds as idleness, and an answer of which a part still lay in our buffers at a close was cut after 1 s.

Ruled out as a cause: BAD_MOST and the drain, which already waited for what was in hand; abandon_all, which answers all of it.

Now a connection has an explicit phase and ends from this side in one place, ClientConnection.end: reading stops, what is in hand is answered in order, last words follow, then it closes. The limit on a slow writer is on silence, and on the longest deadline of the settings in all.

--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -85,6 +85,10 @@
                 self.reader.feed(data)
             return message
 
+    def limit_receiving(self, size: int) -> None:
+        """Have the kernel take in no more than about so many unread bytes."""
+        self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     async def ended(self) -> bool:
         """Wait until the other end has closed with nothing more to say."""
         async with asyncio.timeout(PATIENCE):
@@ -150,6 +154,13 @@
             while not any(c.rested for c in self.driver.servers.pools[name].idle):
                 await asyncio.sleep(0.001)
 
+    def sweep_later(self, seconds: float) -> None:
+        """Look after the client connections as if so much time had passed."""
+        clock = self.driver.clients.clock
+        self.driver.clients.clock = lambda: clock() + seconds
+        self.driver.clients.sweep()
+        self.driver.clients.clock = clock
+
     async def until(self, kind: type, **fields: Any) -> Any:
         """The next event of a kind that the module gets, with these fields."""
         async with asyncio.timeout(PATIENCE):
--- /dev/null
+++ b/tests/test_connection_end.py
@@ -0,0 +1,246 @@
+"""How this side ends a client's connection: what is in hand is answered first, whatever ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import hiredis
+import pytest
+from netkit import ID, PATIENCE, Kit, Wire, command, hosts, options, run, served, soon
+
+from thymehinge.net import client_connection, clients
+from thymehinge.net.client_connection import ClientConnection
+
+OTHER = ID[::-1]
+HALF = command().replace(ID, OTHER)[:20]
+LARGE = b"x" * 1024 * 1024
+KERNEL = 64 * 1024  # bytes that each end of a connection takes in unread, about
+NONSENSE = hiredis.pack_command(("NONSENSE",))
+
+
+async def kit_with_server(**changes: object) -> tuple[Kit, asyncio.Queue[Wire]]:
+    kit = Kit(**changes)
+    dial, came = await kit.server()
+    kit.driver.on_list(hosts(s1=dial))
+    return kit, came
+
+
+async def request_in_hand(kit: Kit, came: asyncio.Queue[Wire], *behind: bytes) -> tuple[Wire, Wire]:
+    """A client whose request is out at a server, with what it wrote behind it."""
+    client = await kit.client()
+    client.write(command() + b"".join(behind))
+    server = await soon(came)
+    await server.read()
+    return client, server
+
+
+async def connection_where(kit: Kit, condition: Callable[[ClientConnection], bool]) -> ClientConnection:
+    """Wait for a connection that this side sees in some condition."""
+    async with asyncio.timeout(PATIENCE):
+        while True:
+            for connection in kit.driver.clients.connections:
+                if condition(connection):
+                    return connection
+            await asyncio.sleep(0)
+
+
+def test_a_request_is_answered_before_silence_in_the_next_command_ends_the_connection():
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client, server = await request_in_hand(kit, came, HALF)
+        await connection_where(kit, lambda c: c in kit.driver.clients.partial)
+        kit.sweep_later(clients.SILENCE_MOST + 0.1)
+        server.write(served(b"value"))
+        assert await client.read() == b"value"
+        assert "does not come" in str(await client.read())
+        assert await client.ended()
+
+    run(test())
+
+
+def test_a_request_is_answered_before_nonsensical_commands_end_the_connection():
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client, server = await request_in_hand(kit, came, NONSENSE * client_connection.BAD_MOST)
+        await connection_where(kit, lambda c: c.phase is client_connection.Phase.ENDING)
+        server.write(served(b"value"))
+        assert await client.read() == b"value"
+        for _ in range(client_connection.BAD_MOST):
+            assert isinstance(await client.read(), hiredis.ReplyError)
+        assert await client.ended()
+
+    run(test())
+
+
+async def write_slowly(kit: Kit, client: Wire, data: bytes, gap: float) -> None:
+    """Write a command in three pieces with so many seconds of the gateway's clock between them."""
+    third = len(data) // 3
+    for piece in (data[:third], data[third : 2 * third]):
+        before = dict(kit.driver.clients.partial)
+        client.write(piece)
+        await connection_where(kit, lambda c, before=before: kit.driver.clients.partial != before)
+        kit.ahead += gap
+        kit.driver.clients.sweep()
+    client.write(data[2 * third :])
+
+
+def test_a_new_client_may_write_its_first_command_slowly():
+    """Guards the limit on silence: it counts from the latest byte, not from the first."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client = await kit.client()
+        await write_slowly(kit, client, command(), 0.9 * clients.SILENCE_MOST)
+        server = await soon(came)
+        await server.read()
+        server.write(served(b"value"))
+        assert await client.read() == b"value"
+
+    run(test())
+
+
+def test_a_client_that_asks_again_at_last_is_not_ended_as_one_that_rests():
+    """Guards a command that is coming when its connection has been idle for as long as it may."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client, server = await request_in_hand(kit, came)
+        server.write(served(b"value"))
+        assert await client.read() == b"value"
+        client.write(HALF)
+        await connection_where(kit, lambda c: c in kit.driver.clients.partial)
+        kit.ahead += 0.9 * clients.SILENCE_MOST
+        kit.driver.clients.clock, clock = lambda: clock() + clients.IDLE_MOST, kit.driver.clients.clock
+        (connection,) = kit.driver.clients.partial
+        kit.driver.clients.partial[connection] = connection.begun_at = kit.driver.clients.clock()
+        kit.driver.clients.sweep()
+        assert connection.phase is client_connection.Phase.OPEN
+
+    run(test())
+
+
+def test_a_command_in_pieces_is_bounded_by_the_longest_deadline():
+    async def test() -> None:
+        kit, _ = await kit_with_server()
+        longest = kit.driver.clients.longest
+        client = await kit.client()
+        client.write(HALF)
+        connection = await connection_where(kit, lambda c: c in kit.driver.clients.partial)
+        for _ in range(int(longest)):
+            kit.ahead += 1.0
+            client.write(b"0")
+            before = len(connection.commands.held)
+            await connection_where(kit, lambda c, before=before: len(c.commands.held) > before)
+            kit.driver.clients.sweep()
+        kit.ahead += 1.0
+        kit.driver.clients.sweep()
+        assert connection.phase is client_connection.Phase.CLOSED
+        assert "does not come" in str(await client.read())
+        assert await client.ended()
+
+    run(test())
+
+
+def test_half_a_command_makes_way_only_with_nothing_in_hand():
+    """Guards requests where others wait for a descriptor."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        busy, server = await request_in_hand(kit, came, HALF)
+        halfway = await kit.client()
+        halfway.write(HALF)
+        await connection_where(kit, lambda c: len(kit.driver.clients.partial) == 2)
+        kit.driver.clients.make_way()  # it has been at it for a moment only
+        assert len(kit.driver.clients.partial) == 2
+        kit.ahead += 2 * clients.NEWCOMER_LEAST
+        kit.driver.clients.make_way()
+        assert await halfway.ended()
+        kit.driver.clients.make_way()
+        server.write(served(b"value"))
+        assert await busy.read() == b"value"
+
+    run(test())
+
+
+def test_a_drain_leaves_half_a_command_its_time_and_ends_it_after_silence():
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client, server = await request_in_hand(kit, came, HALF)
+        await connection_where(kit, lambda c: c in kit.driver.clients.partial)
+        kit.driver.clients.drain()
+        server.write(served(b"value"))
+        assert await client.read() == b"value"
+        assert not kit.driver.clients.drain()
+        kit.sweep_later(clients.SILENCE_MOST + 0.1)
+        assert "does not come" in str(await client.read())
+        assert await client.ended()
+
+    run(test())
+
+
+async def large_answer_unread(
+    kit: Kit, came: asyncio.Queue[Wire], behind: bytes = b""
+) -> tuple[Wire, ClientConnection]:
+    """A client that reads nothing, and an answer on its way that is more than the kernel takes."""
+    client = await kit.client()
+    (connection,) = kit.driver.clients.connections
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL)
+    client.limit_receiving(KERNEL)
+    client.stream._transport.pause_reading()
+    client.write(command() + behind)
+    servers = [await soon(came) for _ in range(2 if behind else 1)]
+    for server in servers:
+        if (await server.read())[2] == ID:
+            server.write(served(LARGE))
+    async with asyncio.timeout(PATIENCE):
+        while not connection.transport.get_write_buffer_size():
+            await asyncio.sleep(0)
+    return client, connection
+
+
+def test_an_answer_that_lies_unread_at_the_close_stays_until_its_deadline():
+    """Guards answers that wait in our own buffers: a second was all that they had."""
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client, connection = await large_answer_unread(kit, came)
+        kit.driver.clients.drain()
+        assert connection.phase is client_connection.Phase.CLOSED
+        kit.sweep_later(client_connection.LINGER + 0.5)  # its client waits for 3 s
+        client.stream._transport.resume_reading()
+        assert await client.read() == LARGE
+        assert await client.ended()
+
+    run(test())
+
+
+def test_an_answer_that_lies_unread_past_its_deadline_is_dropped():
+    """Guards descriptors against clients that read nothing."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        _, connection = await large_answer_unread(kit, came)
+        kit.driver.clients.drain()
+        kit.sweep_later(3.0 + client_connection.LATE_MOST)
+        async with asyncio.timeout(PATIENCE):
+            while kit.driver.clients.connections:
+                await asyncio.sleep(0)
+        assert connection.transport.is_closing()
+
+    run(test())
+
+
+@pytest.mark.parametrize(("seconds", "kept"), [(40.0, True), (301.0, False)])
+def test_answers_may_lie_unread_for_as_long_as_a_class_may_wait(seconds, kept):
+    """Guards deployments whose requests may take longer than the half minute that was the bound."""
+
+    async def test() -> None:
+        settings = options()
+        settings["classes"][0] |= {"aim_s": 60.0, "give_up_s": 300.0}
+        kit, came = await kit_with_server(settings=settings)
+        _, connection = await large_answer_unread(kit, came, command().replace(ID, OTHER))
+        kit.sweep_later(seconds)
+        assert (connection.phase is client_connection.Phase.OPEN) is kept
+
+    run(test())
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -13,7 +13,8 @@
 from thymehinge import interface as api
 from thymehinge.brain import Gateway
 from thymehinge.interface import Result
-from thymehinge.net.clients import BUSY, FAILED, Clients
+from thymehinge.net.client_connection import BUSY, FAILED
+from thymehinge.net.clients import Clients
 from thymehinge.net.config import Config
 from thymehinge.net.discovery import HostList
 from thymehinge.net.exchange import Exchange
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -10,7 +10,7 @@
 from thymehinge.interface import Repeat, Settings
 
 if TYPE_CHECKING:
-    from thymehinge.net.clients import ClientConnection
+    from thymehinge.net.client_connection import ClientConnection
 
 WAIT_MOST, WAIT_PART = 60.0, 2.0  # s that a client may want to wait; at least, times the longest deadline
 HEX = re.compile(rb"[0-9a-fA-F]{16}")
