Wait for a home only where asks usually are answered, and keep a part of admission even

Half of it now goes by chance alone, so that each class gets at least half of the share that all get.

--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -26,7 +26,10 @@
 ASK_INTAKE = 0.75  # asks and answers may fill this part of what a peer takes in
 ASK_GAP = 0.25  # s that an entry may wait for others to share its message, at most
 ASK_WAIT, ASK_TRIES = 0.3, 3  # s without an answer before an ask goes out again, at most; how often it does
+EVEN_PART = 0.5  # of the admission by chance that takes no account of worth, lest a class be shut out
 FILL_SURE = 0.5  # part of the home's store that, last heard of, leaves room for an ask without an answer
+ANSWERED_USUAL = 0.75  # share of asks answered from which on an answer is waited for
+ANSWERED_WEIGHT = 0.05  # of an ask in that share
 ASK_PART = 0.25  # of its aim that a request may spend on its asks in any case
 ASK_SHARE = 0.3  # weight of an answer in the share of asks that are granted
 SETTLE_LAG, MOVE_LAG, DEEPEST = 0.3, 0.05, 10.0  # s of the rate kept back for what is told late; owed at most
@@ -354,10 +357,15 @@
         attempt.work = 0.0
 
     def passes(self, worth: float) -> bool:
-        """Admission by chance, least worth for its work refused first, once the bound is too low."""
+        """Admission by chance, least worth for its work refused first, once the bound is too low.
+
+        A part of it goes by chance alone: every class gets at least that part of the share that all get.
+        """
         self.worths.append(worth)
         if self.limit >= LIMIT_FEW:
             return True
+        if self.rng.random() < EVEN_PART:
+            return self.rng.random() < self.limit / LIMIT_FEW
         below = sum(w < worth for w in self.worths) + self.rng.random() * self.worths.count(worth)
         return below >= (1 - self.limit / LIMIT_FEW) * len(self.worths)
 
@@ -509,6 +517,7 @@
         self.buckets: dict[int, Customer] = {}  # whole quotas of the customers whose home this gateway is
         # answers lately given, by asker and tag: what, for which wait, to whom, and until when it is known
         self.given: dict[tuple[int, int], tuple[int, float, Customer, float]] = {}
+        self.answered_share = 1.0  # of the asks of late
         self.unasked: dict[int, float] = {}  # tags of asks whose units were used unanswered, until when known
         self.mute, self.missed = {}, {}  # homes passed over, until when; asks in a row they left unanswered
         self.next_second = now + 1.0
@@ -668,14 +677,19 @@
         self.wake(now + patience + 2 * (self.next_tell - now), "asked", job.req.request)
 
     def ask_time(self, job: Job) -> float:
-        """Seconds that a request may spend on its asks, and still be served within its aim."""
-        spec = job.cls.spec
-        within_aim = max(HOLD_PART * spec.aim - SERVE_MARGIN * job.cls.latency, ASK_PART * spec.aim)
-        return min(within_aim, DECIDE_PART * max(0.0, job.req.time_left))
+        """Seconds that a request may spend on its asks.
+
+        Where they usually are answered, until it must be decided; else so long that it can meet its aim.
+        """
+        spec, most = job.cls.spec, DECIDE_PART * max(0.0, job.req.time_left)
+        if self.answered_share >= ANSWERED_USUAL:
+            return most
+        return min(most, max(HOLD_PART * spec.aim - SERVE_MARGIN * job.cls.latency, ASK_PART * spec.aim))
 
     def unanswered(self, now: float, job: Job) -> None:
         """No answer of the home in time: what it last told decides, else our slice of the quota."""
         c = job.customer
+        self.answered_share -= ANSWERED_WEIGHT * self.answered_share
         likely = c.share(now) ** 3 * (min(1.0, c.fill / FILL_SURE) if c.plan.rate > 0 else 1.0)
         if job.asks > 1:  # one ask alone may have been lost
             self.missed[job.home] = self.missed.get(job.home, 0) + 1
@@ -799,6 +813,7 @@
             if kind == Notes.REFUSE and c.plan.rate > 0:
                 c.known = units / c.plan.rate - wait - now
             if job and job.place in ("asked", "held"):
+                self.answered_share += ANSWERED_WEIGHT * (1 - self.answered_share)
                 c.learn(now, kind != Notes.REFUSE)
                 self.answered(now, job, kind, wait)
             elif job is None and kind == Notes.GRANT and units > 0 and tag not in self.unasked:
