--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -170,6 +170,14 @@
                     return event
 
 
+async def kit_with_server(**changes: Any) -> tuple[Kit, asyncio.Queue[Wire]]:
+    """A gateway that knows one server, s1, and the connections that come to that."""
+    kit = Kit(**changes)
+    dial, came = await kit.server()
+    kit.driver.on_list(hosts(s1=dial))
+    return kit, came
+
+
 class Mute:
     """A listener with a full backlog: further connections never come up."""
 
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -8,7 +8,7 @@
 
 import hiredis
 import pytest
-from netkit import ID, PATIENCE, Kit, Wire, command, hosts, options, run, served, soon
+from netkit import ID, PATIENCE, Kit, Wire, command, kit_with_server, options, run, served, soon
 
 from thymehinge.net import client_connection, clients
 from thymehinge.net.client_connection import ClientConnection
@@ -20,13 +20,6 @@
 NONSENSE = hiredis.pack_command(("NONSENSE",))
 
 
-async def kit_with_server(**changes: object) -> tuple[Kit, asyncio.Queue[Wire]]:
-    kit = Kit(**changes)
-    dial, came = await kit.server()
-    kit.driver.on_list(hosts(s1=dial))
-    return kit, came
-
-
 async def request_in_hand(kit: Kit, came: asyncio.Queue[Wire], *behind: bytes) -> tuple[Wire, Wire]:
     """A client whose request is out at a server, with what it wrote behind it."""
     client = await kit.client()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,7 +6,7 @@
 
 import hiredis
 import pytest
-from netkit import ID, PATIENCE, Kit, command, hosts, run, served, soon
+from netkit import ID, PATIENCE, command, kit_with_server, run, served, soon
 
 from thymehinge import __main__ as program
 from thymehinge import interface as api
@@ -26,9 +26,7 @@
     """Guards against a lost request: our machine has accepted it, and a listener that closes resets it."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         first = await kit.client()
         first.write(command())
         held = await soon(came)
@@ -59,9 +57,7 @@
     monkeypatch.setattr(client_connection, "PIPELINED", 4)
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client, many = await kit.client(), 20
         client.write(b"".join(command().replace(ID, b"%016x" % i) for i in range(many)))
         await (await soon(came)).read()
@@ -78,9 +74,7 @@
     """Guards against lost requests: what keeps a connection busy keeps it open, up to the end."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command())
         await (await soon(came)).read()  # held to the end, so that the connection has always one in hand
@@ -103,9 +97,7 @@
     """Guards against work that would be thrown away: the module plans with the time that there is."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, _ = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, _ = await kit_with_server()
         kit.driver.end = kit.driver.clock() + 1.0
         client = await kit.client()
         client.write(command(fields=b"c=lookup,t=village,d=9000"))
@@ -118,9 +110,7 @@
     """Guards the first request of a new connection: closing that with no answer loses it."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         async with asyncio.timeout(PATIENCE):
             while not kit.driver.clients.newcomers:
@@ -141,9 +131,7 @@
     """Guards against work for nobody, and against a send for a request that we have answered ourselves."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         handle = kit.driver.gateway.handle
 
         def answered_meanwhile(now: float, event: api.Event) -> list[api.Action]:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,7 +6,7 @@
 import os
 import time
 
-from netkit import PATIENCE, Kit, command, hosts, run, served, soon
+from netkit import PATIENCE, Kit, command, hosts, kit_with_server, run, served, soon
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
@@ -17,9 +17,7 @@
     """Guards against a mixed-up answer: this process stands still while the second copy comes."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command())
         server = await soon(came)
@@ -83,9 +81,7 @@
     """Guards the requests that may not be repeated: a server begins a command once its last byte has come."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         outcomes = []
         kit.driver.servers.report = lambda a, result, report, value: outcomes.append(result)
         huge = Order()
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -6,7 +6,7 @@
 
 import hiredis
 import pytest
-from netkit import HOST, ID, PATIENCE, Kit, command, hosts, options, run, soon
+from netkit import HOST, ID, PATIENCE, Kit, command, hosts, kit_with_server, options, run, soon
 
 from thymehinge import interface as api
 from thymehinge.brain import Notes
@@ -68,9 +68,7 @@
     """Guards it for what failed: the server's refusal and the close come in the same turn of the loop."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.bare(command() + bad)
         server = await soon(came)
         await server.read()
@@ -89,9 +87,7 @@
     """Guards it after a stall: the command and the close stand in the socket together."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         pool = kit.driver.servers.pools["s1"]
         kit.driver.servers.spawn(pool.connect())
         pool.connecting, kit.driver.servers.connecting = 1, 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,21 @@
 
 import hiredis
 import pytest
-from netkit import CUSTOMER, HOST, ID, PATIENCE, Kit, Mute, command, hosts, options, run, served, soon
+from netkit import (
+    CUSTOMER,
+    HOST,
+    ID,
+    PATIENCE,
+    Kit,
+    Mute,
+    command,
+    hosts,
+    kit_with_server,
+    options,
+    run,
+    served,
+    soon,
+)
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
@@ -29,9 +43,7 @@
     """Guards against voided runs: servers refuse a command that no client sent in this form."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         fields = b"c=order,t=village,d=2000,k=5c0f6e1a2b3d4c59,units=2,spread=2,first=1"
         client.write(command(b"API.WRITE", fields, b"BODY\r\n*1234"))
@@ -53,9 +65,7 @@
 
 def test_pipelined_commands_are_answered_in_their_order():
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         other = ID[::-1]
         client.write(command() + command().replace(ID, other) + hiredis.pack_command(("PING",)))
@@ -96,9 +106,7 @@
     """Guards the rule on effects: only what never ran may be told as such. An empty answer is a close."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command(fields=b"c=lookup,t=village,d=1000"))
         server = await soon(came)
@@ -200,9 +208,7 @@
 
 def test_a_client_that_leaves_takes_its_attempts_along():
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command())
         server = await soon(came)
@@ -220,9 +226,7 @@
     """Guards against a lost request, and against a late answer that is passed on as a second one."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         began = time.monotonic()
         client.write(command(fields=b"c=lookup,t=village,d=300"))
@@ -241,9 +245,7 @@
     """Guards against taking one lost request for a queue: the only server would be passed over."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command().replace(ID, b"0" * 16))
         silent = await soon(came)
@@ -269,9 +271,7 @@
     """Guards against a request that is lost, or a gateway that ends, over one bad event."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         handle = kit.driver.gateway.handle
 
         def defect(now: float, event: api.Event) -> list[api.Action]:
@@ -312,9 +312,7 @@
     """Guards against ending a request as timed out while its answer lies in the socket."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command(fields=b"c=lookup,t=village,d=400"))
         server = await soon(came)
@@ -339,9 +337,7 @@
 
 def test_idle_connections_are_used_again_but_not_close_to_the_servers_time_out():
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command())
         server = await soon(came)
@@ -370,9 +366,7 @@
     monkeypatch.setattr(servers, "STALE", PATIENCE)
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client, pool = await kit.client(), kit.driver.servers
         most = pool.keep
         client.write(command())
@@ -495,9 +489,7 @@
     """
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         other, client = await kit.client(), await kit.client()
         client.write(hiredis.pack_command(("SELECT", "0")) + command())
         server = await soon(came)
@@ -526,9 +518,7 @@
     async def test() -> None:
         settings = options()
         settings["classes"][0] |= {"aim_s": 60.0, "give_up_s": 300.0}
-        kit = Kit(settings=settings)
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server(settings=settings)
         client = await kit.client()
         client.write(command(fields=b"c=lookup,t=village,d=300000"))
         server = await soon(came)
@@ -543,9 +533,7 @@
     """Guards two clients against each other's answers: a server drops a repeat, or answers it alike."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         first, second = await kit.client(), await kit.client()
         for value in (b"one", b"two"):  # the second time the id is free again
             first.write(command())
@@ -577,9 +565,7 @@
     """Guards descriptors against those who connect and say nothing, and 3 s for who sends half a command."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         usual, half, silent, asking = [await kit.client() for _ in range(4)]
         for client in (usual, half):
             client.write(command())
@@ -613,9 +599,7 @@
     """Guards usual clients at the bound: the silent make way, and a closing one counts until it is gone."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         usual = await kit.client()
         usual.write(command())
         server = await soon(came)
@@ -722,9 +706,7 @@
 
 async def answered(*parts: bytes) -> api.Outcome:
     """What the module of a gateway is told of an answer that comes in these parts."""
-    kit = Kit()
-    dial, came = await kit.server()
-    kit.driver.on_list(hosts(s1=dial))
+    kit, came = await kit_with_server()
     client = await kit.client()
     client.write(command())
     server = await soon(came)
@@ -773,9 +755,7 @@
     """What belongs to nobody ends the connection, and what can't be read tells nothing."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command())
         server = await soon(came)
@@ -794,9 +774,7 @@
     """Guards against mixed-up answers: a connection is not used again until it has been quiet for a while."""
 
     async def test() -> None:
-        kit = Kit()
-        dial, came = await kit.server()
-        kit.driver.on_list(hosts(s1=dial))
+        kit, came = await kit_with_server()
         client = await kit.client()
         client.write(command())
         server = await soon(came)
