Let no connection make way that has just come, also where none is idle

Seen: 40 clients against a real gateway with 64 descriptors (16 for clients): 15 requests ended with a closed connection and no answer. Each had waited in the backlog and was taken in a moment before: where no connection was idle, make_way ended the first newcomer however young, which made room for the next one, ended in its turn.

Line: `if newcomer and (not idle or newcomer.since <= ...)` in Clients.make_way. Who waits in the backlog now waits on until a newcomer has had its 0.2 s, or another connection ends.

--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -237,3 +237,31 @@
         assert (connection.phase is client_connection.Phase.OPEN) is kept
 
     run(test())
+
+
+def test_who_has_just_come_does_not_make_way_before_asking():
+    """Guards first requests on their way: where nobody was idle, each newcomer pushed out the last one."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        kit.driver.clients.most = 2
+        crowd = [await kit.client() for _ in range(3)]
+        async with asyncio.timeout(PATIENCE):
+            while not kit.driver.clients.paused:
+                await asyncio.sleep(0)
+        assert len(kit.driver.clients.newcomers) == 2
+        kit.driver.clients.make_way()
+        for i, client in enumerate(crowd[:2]):
+            client.write(command().replace(ID, b"%016x" % i))
+            server = await soon(came)
+            await server.read()
+            server.write(served(b"value"))
+            assert await client.read() == b"value"
+        kit.driver.clients.sweep()  # those two are idle now, and one of them makes way
+        crowd[2].write(command())
+        server = await soon(came)
+        await server.read()
+        server.write(served(b"value"))
+        assert await crowd[2].read() == b"value"
+
+    run(test())
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -126,21 +126,14 @@
     def make_way(self) -> None:
         """End one that has nothing in hand: silent though it had its time, idle for longest, or half-way.
 
-        One that is half-way through a command comes last, and only if it has been so for a while.
+        One that has just come, or has just begun a command, has its first request on its way: where there
+        are no others, who waits to be taken in waits on.
         """
-        now = self.clock()
-        newcomer = next((c for c in self.newcomers if c not in self.partial), None)
-        idle = next(iter(self.idle), None)
-        if newcomer and (not idle or newcomer.since <= now - NEWCOMER_LEAST):
-            newcomer.end()
-        elif idle:
-            idle.end()
-        elif slow_writer := next((c for c in self.partial if self.may_make_way(c, now)), None):
-            slow_writer.end()
-
-    def may_make_way(self, connection: ClientConnection, now: float) -> bool:
-        """Whether nothing is in hand there, and the command that is coming has been coming for a while."""
-        return not connection.pending and connection.begun_at <= now - NEWCOMER_LEAST
+        before = self.clock() - NEWCOMER_LEAST
+        newcomer = next((c for c in self.newcomers if c not in self.partial and c.since <= before), None)
+        slow_writer = next((c for c in self.partial if not c.pending and c.begun_at <= before), None)
+        if leaving := newcomer or next(iter(self.idle), None) or slow_writer:
+            leaving.end()
 
     def stop_watching(self, connection: ClientConnection) -> None:
         """A connection is ending: it is nobody's to end again."""
