--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -16,8 +16,9 @@
 
 import hiredis
 import pytest
+from discoverykit import ENTRY
 from netkit import CUSTOMER, HOST, ID, PATIENCE, Kit, Mute, Wire, command, configuration, hosts, run, served
-from test_process import ENTRY, start
+from processkit import start
 
 from thymehinge.net import clients
 from thymehinge.net.driver import RESERVE, SERVER_PART
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,405 @@
+"""What is heard from discovery: lists, watches, and each way in which a call can fail."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
+from itertools import count as count_from
+from types import SimpleNamespace
+
+import pytest
+from aiohttp import web
+from discoverykit import ENTRY, SILENT, discovery, whole
+from netkit import HOST, PATIENCE, Mute, configuration, run, soon
+
+from thymehinge import interface as api
+from thymehinge.net import discovery as discovery_module
+from thymehinge.net import http
+from thymehinge.net.config import read
+from thymehinge.net.discovery import Discovery, HostList, follow
+from thymehinge.net.http import HttpClient
+
+
+def heard(answers: list, count: int, size_most: int = 2**24) -> tuple[list[HostList], list[str]]:
+    """What is told from these answers, up to a number of lists, and the calls made for it."""
+    lists: list[HostList] = []
+    seen: list[str] = []
+
+    async def test() -> None:
+        address, calls = await discovery(answers)
+        told: asyncio.Queue[HostList] = asyncio.Queue()
+        task = asyncio.create_task(follow(address, told.put_nowait, size_most))
+        lists.extend([await soon(told) for _ in range(count)])
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        seen.extend(calls)
+
+    run(test())
+    return lists, seen
+
+
+def test_discovery_gives_the_list_and_then_its_changes():
+    gone = {"host": "s1", "health": "Gone"}
+    lists, calls = heard([whole(41, ENTRY | {"born_ms": 5000}), whole(43, gone, complete=False)], 2)
+    assert lists[0].whole and lists[0].servers[0].started == 5.0 and lists[0].dials == {"s1": (HOST, 1)}
+    assert not lists[1].whole and lists[1].servers[0].state is api.State.GONE
+    assert calls[0] == "/discovery/hosts" and calls[1].startswith("/discovery/hosts?since=41&timeout_ms=")
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        None,
+        web.Response(text="{not json"),
+        web.Response(text="[]"),
+        web.Response(status=500),
+        web.Response(text="[" * 100_000),
+    ],
+)
+def test_discovery_comes_back_with_the_whole_list_after_a_bad_answer(bad):
+    """Guards against a gateway that stays on an old list for good."""
+    lists, calls = heard([whole(41, ENTRY), bad, whole(44, ENTRY)], 2)
+    assert [each.version for each in lists] == [41, 44]
+    # a watch whose connection broke may be asked once more as it was
+    assert calls[2] == "/discovery/hosts" or bad is None
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        ENTRY | {"health": "Odd"},
+        {k: v for k, v in ENTRY.items() if k != "dial"},
+        ENTRY | {"dial": "127.0.0.1:99999"},
+        ENTRY | {"born_ms": "soon"},
+        "no object",
+    ],
+)
+def test_a_bad_entry_discards_no_other_and_has_the_whole_list_asked_for(bad):
+    """Guards against staying on an old list over one entry, and against missing what that one told."""
+    good = ENTRY | {"host": "s2"}
+    lists, calls = heard([whole(41, bad, good), whole(44, ENTRY, good)], 2)
+    assert [[s.server for s in each.servers] for each in lists] == [["s2"], ["s1", "s2"]]
+    assert calls[:2] == ["/discovery/hosts"] * 2
+
+
+def test_a_watch_that_has_fallen_silent_is_opened_anew_with_the_whole_list(monkeypatch):
+    """Guards the rule on drains: what a silent watch misses counts as told some seconds later."""
+    monkeypatch.setattr("thymehinge.net.discovery.WATCH", 0.1)
+    monkeypatch.setattr("thymehinge.net.discovery.ANSWER", 0.2)
+    draining = whole(9, ENTRY | {"health": "Terminating"})
+    lists, calls = heard([whole(1, ENTRY), SILENT, SILENT, draining], 2)
+    assert [s.state for s in lists[1].servers] == [api.State.DRAINING]
+    assert calls[:4] == [calls[0], f"{calls[0]}?since=1&timeout_ms=100", calls[0], calls[0]]
+
+
+@pytest.mark.parametrize("away", [True, False])
+def test_discovery_that_is_away_is_called_on_and_one_that_is_overbooked_less_and_less(away, monkeypatch):
+    """Guards the rule on drains: what discovery has at its return counts as told from that moment on."""
+    pauses, sleep = [], asyncio.sleep
+
+    async def pause(seconds: float) -> None:
+        pauses.append(seconds)
+        await sleep(0)
+
+    monkeypatch.setattr("thymehinge.net.discovery.asyncio", SimpleNamespace(sleep=pause))
+    monkeypatch.setattr("thymehinge.net.discovery.monotonic", lambda: 0.0)  # each call fails at once
+    answers = [None if away else web.Response(status=503) for _ in range(6)]
+    lists, _ = heard([*answers, whole(1, ENTRY)], 1)
+    assert lists[0].version == 1
+    failed = [p for p in pauses if p >= 0.1]  # the others follow good answers
+    assert (len(failed) >= 3 and set(failed) == {0.1}) if away else failed == [0.1, 0.2, 0.4, 0.8, 1.0, 1.0]
+
+
+def test_watches_that_are_turned_away_are_opened_less_and_less(monkeypatch):
+    """Guards an overbooked discovery, which may still give the whole list: 200 gateways would ask on."""
+    pauses, sleep = [], asyncio.sleep
+
+    async def pause(seconds: float) -> None:
+        pauses.append(seconds)
+        await sleep(0)
+
+    monkeypatch.setattr("thymehinge.net.discovery.asyncio", SimpleNamespace(sleep=pause))
+    monkeypatch.setattr("thymehinge.net.discovery.monotonic", lambda: 0.0)
+    answers = [answer for _ in range(5) for answer in (whole(1, ENTRY), web.Response(status=503))]
+    heard([*answers, whole(2, ENTRY), whole(3, complete=False), web.Response(status=503), whole(4)], 8)
+    failed = [p for p in pauses if p >= 0.1]
+    assert failed == [0.1, 0.2, 0.4, 0.8, 1.0, 0.1]  # a watch that was answered proves that it can again
+
+
+def test_the_pause_counts_from_the_start_of_the_call_that_failed(monkeypatch):
+    """Guards the 6 s: a call that fails late has itself been pause enough, but for what the agent is due."""
+    pauses, sleep, clock = [], asyncio.sleep, count_from(0.0, 0.25)  # each call takes a quarter of a second
+
+    async def pause(seconds: float) -> None:
+        pauses.append(seconds)
+        await sleep(0)
+
+    monkeypatch.setattr("thymehinge.net.discovery.asyncio", SimpleNamespace(sleep=pause))
+    monkeypatch.setattr("thymehinge.net.discovery.monotonic", lambda: next(clock))
+    heard([*(web.Response(status=503) for _ in range(6)), whole(1, ENTRY)], 1)
+    assert [p for p in pauses if p >= 0.1] == pytest.approx([0.1, 0.1, 0.15, 0.55, 0.75, 0.75])
+
+
+def test_the_worst_order_of_failures_tells_a_change_in_time():
+    """Guards the 6 s: after the call that was out, two that fail as late as they may, then a slow good one.
+
+    From each state of the backoff, and each way to fail: at once or late, as away or with what can't be used.
+    """
+    d = discovery_module
+
+    def longest(budget: float, pause: float, failures: int) -> float:
+        """s from a call's start to the good answer, where it and so many after it fail in the worst way."""
+        if failures < 0:
+            return budget
+        ways = []
+        for after in (pause, d.PAUSE):  # kept, or reset by an agent that is away
+            for took in (0.0, min(budget, after), budget):
+                rest = longest(d.ANSWER, min(2 * after, d.PAUSE_MOST), failures - 1)
+                ways.append(took + max(d.PAUSE, after - took) + rest)
+        return max(ways)
+
+    out = [(d.GAP + d.WATCH + d.ANSWER, p) for p in (d.PAUSE, 0.2, 0.4, 0.8, d.PAUSE_MOST)]
+    out += [(d.ANSWER, p) for p in (d.PAUSE, 0.2, 0.4, 0.8, d.PAUSE_MOST)]
+    worst = max(longest(budget, pause, d.FAILURES) for budget, pause in out)
+    assert worst == pytest.approx(d.GAP + d.WATCH + 2 * d.ANSWER + d.PAUSE + d.FAILURES * d.PAUSE_MOST)
+    assert worst <= d.TOLD - d.MARGIN
+    assert d.FAILURES >= 2 and d.MARGIN >= 0.4 and d.PAUSE + d.ANSWER <= d.PAUSE_MOST
+
+
+Trouble = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+
+async def say(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(data)
+    await writer.drain()
+
+
+async def is_silent(reader, writer) -> None:
+    """No answer at all."""
+    await asyncio.sleep(60)
+
+
+async def trickles(reader, writer) -> None:
+    """An answer that comes on and on, a few bytes at a time."""
+    await say(writer, HEAD + b"\r\n")
+    while True:
+        await say(writer, b" ")
+        await asyncio.sleep(0.005)
+
+
+async def floods(reader, writer) -> None:
+    """An answer that never ends, at full speed."""
+    await say(writer, HEAD + b"\r\n" + b'{"seq":2,"whole":true,"hosts":[')
+    while True:
+        await say(writer, b" " * 65536)
+
+
+async def stops_in_the_head(reader, writer) -> None:
+    """Half a head, then nothing."""
+    await say(writer, HEAD)
+    await asyncio.sleep(60)
+
+
+async def is_reset(reader, writer) -> None:
+    """A reset before any answer, which the library may take as a reason to ask once more."""
+    writer.transport.abort()
+
+
+async def is_cut(reader, writer) -> None:
+    """No length, and reset after a part: a reset is no end."""
+    await say(writer, HEAD + b"\r\n" + b'{"seq":2,"whole":true,"hosts":[')
+    await asyncio.sleep(0.02)
+    writer.transport.abort()
+
+
+async def is_cut_short(reader, writer) -> None:
+    """A length that is not reached."""
+    await say(writer, HEAD + b'Content-Length: 500\r\n\r\n{"seq":2,"whole":true,"hosts":[]}')
+    writer.close()
+
+
+async def refuses(reader, writer) -> None:
+    """503 with a body that never comes."""
+    await say(writer, b"HTTP/1.1 503 Overbooked\r\nContent-Length: 500\r\n\r\n")
+    await asyncio.sleep(60)
+
+
+async def has_a_bad_entry(reader, writer) -> None:
+    """A list with an entry that makes no sense."""
+    body = json.dumps({"seq": 2, "whole": True, "hosts": ["odd"]}).encode()
+    await say(writer, HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+
+
+async def scripted(script: list[Trouble]) -> tuple[str, list[str]]:
+    """A peer that takes one call after another as the script says, bare of any HTTP library; its calls."""
+    calls: list[str] = []
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                calls.append(head.split()[1].decode())
+                await script[len(calls) - 1](reader, writer)
+
+    server = await asyncio.start_server(handle, HOST, 0)
+    return "{}:{}".format(*server.sockets[0].getsockname()), calls
+
+
+def indented(version: int, entries: Sequence[dict]) -> bytes:
+    return json.dumps({"seq": version, "whole": True, "hosts": entries}, indent=4).encode()
+
+
+def gives(version: int, *entries: dict, sized: bool = True) -> Trouble:
+    """A good list, indented and in pieces; where it is not sized, its end is the connection's."""
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        body = indented(version, entries)
+        await say(writer, HEAD + (b"Content-Length: %d\r\n\r\n" % len(body) if sized else b"\r\n"))
+        size = max(50, len(body) // 100)
+        for i in range(0, len(body), size):
+            await say(writer, body[i : i + size])
+            await asyncio.sleep(0)
+        if not sized:
+            writer.close()
+
+    return answer
+
+
+ENDLESS = [is_silent, trickles, stops_in_the_head]  # only a budget ends these
+TROUBLES = [*ENDLESS, is_reset, floods, is_cut, is_cut_short, refuses, has_a_bad_entry]
+
+
+@pytest.mark.parametrize("watching", [True, False])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_after_each_trouble_the_change_is_told_and_no_call_outlasts_its_budget(
+    trouble, watching, monkeypatch, caplog
+):
+    """Guards the 6 s: each step ends by the constant that it is counted with, and what comes next is told."""
+    budgets = {"WATCH": 0.2, "ANSWER": 0.1} if trouble in ENDLESS else {"WATCH": 600.0, "ANSWER": 600.0}
+    for name, value in (budgets | {"PAUSE": 0.01, "PAUSE_MOST": 0.02}).items():
+        monkeypatch.setattr(discovery_module, name, value)
+    took: list[float] = []  # s of each call
+    ask = discovery_module.ask
+
+    async def timed(*args):
+        begun = asyncio.get_running_loop().time()
+        try:
+            return await ask(*args)
+        finally:
+            took.append(asyncio.get_running_loop().time() - begun)
+
+    monkeypatch.setattr(discovery_module, "ask", timed)
+
+    async def test() -> None:
+        before = [gives(1, ENTRY)] if watching else []
+        draining = gives(3, ENTRY | {"health": "Terminating"}, sized=False)
+        address, calls = await scripted([*before, trouble, draining])
+        told: asyncio.Queue[HostList] = asyncio.Queue()
+        task = asyncio.create_task(follow(address, told.put_nowait, 2**20))
+        while [s.state for s in (await soon(told)).servers] != [api.State.DRAINING]:
+            pass
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        assert ("since=1" in calls[len(before)]) is watching
+
+    run(test())
+    if trouble in ENDLESS:
+        assert took[int(watching)] >= (0.3 if watching else 0.1) - 0.01  # its budget, no other end
+    assert (f"{2**20} are the most" in caplog.text) is (trouble is floods)
+
+
+def test_a_watch_that_is_reset_and_asked_once_more_has_one_budget_for_both(monkeypatch):
+    """Guards the 6 s: a call is repeated where a kept connection breaks, on a new one with its own budget."""
+    monkeypatch.setattr(discovery_module, "WATCH", 0.2)
+    monkeypatch.setattr(discovery_module, "ANSWER", 0.3)
+    monkeypatch.setattr(discovery_module, "PAUSE", 0.01)
+    budgets: list[float | None] = []
+    timeout = asyncio.timeout
+
+    def counted(delay: float | None) -> asyncio.Timeout:
+        budgets.append(delay)
+        return timeout(delay)
+
+    patched = SimpleNamespace(timeout=counted, open_connection=asyncio.open_connection)
+    monkeypatch.setattr(http, "asyncio", patched)
+
+    async def test() -> None:
+        address, calls = await scripted([gives(1, ENTRY), is_reset, is_silent, gives(3, ENTRY)])
+        told: asyncio.Queue[HostList] = asyncio.Queue()
+        task = asyncio.create_task(follow(address, told.put_nowait, 2**20))
+        assert [(await soon(told)).version, (await soon(told)).version] == [1, 3]
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        assert ["since=1" in call for call in calls[:4]] == [False, True, True, False]
+        assert budgets[:6] == [0.3, 0.3, 0.5, 0.3, 0.3, 0.3]  # of a call, then of its connect
+
+    run(test())
+
+
+@pytest.mark.parametrize("version", [None, 5])
+def test_a_connect_that_never_comes_up_is_given_up_as_an_answer_is(version, monkeypatch):
+    """Guards the 6 s: also before a watch, whose wait does not count before it is asked for."""
+    monkeypatch.setattr(discovery_module, "WATCH", 600.0)
+    monkeypatch.setattr(discovery_module, "ANSWER", 0.1)
+
+    async def test() -> None:
+        with Mute() as address:
+            async with asyncio.timeout(PATIENCE):
+                with pytest.raises(discovery_module.AWAY):
+                    await discovery_module.ask(HttpClient(address, 2**20), version)
+
+    run(test())
+
+
+@pytest.mark.parametrize("lacking", [0, 1])
+def test_an_answer_of_many_servers_is_read_up_to_the_most_that_memory_allows(lacking, monkeypatch, caplog):
+    """Guards the memory limit without shutting out a large fleet."""
+    monkeypatch.setattr(discovery_module, "ANSWER", 600.0)
+    entries = [ENTRY | {"host": f"s{i}"} for i in range(5000)]
+    length = len(indented(1, entries))
+
+    async def test() -> None:
+        address, _ = await scripted([gives(1, *entries, sized=False), gives(2, ENTRY), is_silent])
+        told: asyncio.Queue[HostList] = asyncio.Queue()
+        task = asyncio.create_task(follow(address, told.put_nowait, length - lacking))
+        first = await soon(told)
+        assert (first.version, len(first.servers)) == ((2, 1) if lacking else (1, 5000))
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+    run(test())
+    assert ("given up after" in caplog.text) is bool(lacking)
+
+
+def test_an_answer_may_take_a_part_of_what_the_configuration_allows():
+    config = read(configuration(limits={"memory_mb": 96, "sockets": 256}), {})
+    assert config.memory == 96 * 2**20
+    assert Discovery(lambda hosts: None, config.memory).size_most == 8 * 2**20
+
+
+def test_discovery_that_moves_breaks_off_its_watch():
+    """Guards the 4 s after a reload: a watch that is out at the old address may wait for longer."""
+
+    async def test() -> None:
+        old, old_calls = await discovery([whole(41, ENTRY)])
+        new, new_calls = await discovery([whole(7, ENTRY)])
+        told: asyncio.Queue[HostList] = asyncio.Queue()
+        follower = Discovery(told.put_nowait, 2**27)
+        follower.move(old)
+        assert (await soon(told)).version == 41
+        async with asyncio.timeout(10):
+            while len(old_calls) < 2:  # the watch is out, and is never answered
+                await asyncio.sleep(0)
+            follower.move(new)
+            assert (await told.get()).version == 7
+        assert new_calls[0] == "/discovery/hosts"
+        follower.stop()
+
+    run(test())
