--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -178,6 +178,15 @@
     return kit, came
 
 
+async def request_in_hand(kit: Kit, came: asyncio.Queue[Wire], *behind: bytes) -> tuple[Wire, Wire]:
+    """A client whose request is out at a server, with what it wrote behind it."""
+    client = await kit.client()
+    client.write(command() + b"".join(behind))
+    server = await soon(came)
+    await server.read()
+    return client, server
+
+
 class Mute:
     """A listener with a full backlog: further connections never come up."""
 
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -8,7 +8,19 @@
 
 import hiredis
 import pytest
-from netkit import ID, PATIENCE, Kit, Wire, command, kit_with_server, options, run, served, soon
+from netkit import (
+    ID,
+    PATIENCE,
+    Kit,
+    Wire,
+    command,
+    kit_with_server,
+    options,
+    request_in_hand,
+    run,
+    served,
+    soon,
+)
 
 from thymehinge.net import client_connection, clients
 from thymehinge.net.client_connection import ClientConnection
@@ -20,15 +32,6 @@
 NONSENSE = hiredis.pack_command(("NONSENSE",))
 
 
-async def request_in_hand(kit: Kit, came: asyncio.Queue[Wire], *behind: bytes) -> tuple[Wire, Wire]:
-    """A client whose request is out at a server, with what it wrote behind it."""
-    client = await kit.client()
-    client.write(command() + b"".join(behind))
-    server = await soon(came)
-    await server.read()
-    return client, server
-
-
 async def connection_where(kit: Kit, condition: Callable[[ClientConnection], bool]) -> ClientConnection:
     """Wait for a connection that this side sees in some condition."""
     async with asyncio.timeout(PATIENCE):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,7 +6,7 @@
 import os
 import time
 
-from netkit import PATIENCE, Kit, command, hosts, kit_with_server, run, served, soon
+from netkit import PATIENCE, Kit, command, hosts, kit_with_server, request_in_hand, run, served, soon
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
@@ -18,10 +18,7 @@
 
     async def test() -> None:
         kit, came = await kit_with_server()
-        client = await kit.client()
-        client.write(command())
-        server = await soon(came)
-        await server.read()
+        client, server = await request_in_hand(kit, came)
         server.write(served(b"first"))
         assert await client.read() == b"first"
         pool = kit.driver.servers.pools["s1"]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
     command,
     hosts,
     kit_with_server,
+    request_in_hand,
     run,
     served,
     soon,
@@ -166,10 +167,7 @@
 def test_a_client_that_leaves_takes_its_attempts_along():
     async def test() -> None:
         kit, came = await kit_with_server()
-        client = await kit.client()
-        client.write(command())
-        server = await soon(came)
-        await server.read()
+        client, server = await request_in_hand(kit, came)
         client.writer.close()
         await kit.until(api.ClientGone, request=1)
         assert await server.ended()
--- a/tests/test_server_answers.py
+++ b/tests/test_server_answers.py
@@ -5,13 +5,7 @@
 import asyncio
 
 import pytest
-from netkit import (
-    command,
-    kit_with_server,
-    run,
-    served,
-    soon,
-)
+from netkit import command, kit_with_server, request_in_hand, run, served, soon
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
@@ -79,10 +73,7 @@
 async def answered(*parts: bytes) -> api.Outcome:
     """What the module of a gateway is told of an answer that comes in these parts."""
     kit, came = await kit_with_server()
-    client = await kit.client()
-    client.write(command())
-    server = await soon(came)
-    await server.read()
+    client, server = await request_in_hand(kit, came)
     for part in parts:
         server.write(part)
         await asyncio.sleep(0)
@@ -128,10 +119,7 @@
 
     async def test() -> None:
         kit, came = await kit_with_server()
-        client = await kit.client()
-        client.write(command())
-        server = await soon(came)
-        await server.read()
+        client, server = await request_in_hand(kit, came)
         server.write(more)
         assert await client.read() == b"value"
         outcome = await kit.until(api.Outcome)
@@ -147,10 +135,7 @@
 
     async def test() -> None:
         kit, came = await kit_with_server()
-        client = await kit.client()
-        client.write(command())
-        server = await soon(came)
-        await server.read()
+        client, server = await request_in_hand(kit, came)
         server.write(served(b"first"))
         assert await client.read() == b"first"
         client.write(command())
