Give a slow writer the silence that is borne also where all deadlines are shorter

Found by reading the change again: the time for a command in pieces was bounded by the longest deadline alone.

Line: `late` in Clients.stopped. The new test fails without it.

--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -139,6 +139,25 @@
     run(test())
 
 
+def test_a_command_in_pieces_has_its_time_also_where_all_deadlines_are_short():
+    """Guards slow writers on days whose requests have less than the silence that is borne."""
+
+    async def test() -> None:
+        settings = options()
+        for cls in settings["classes"]:
+            cls |= {"aim_s": 0.2, "give_up_s": 0.4}
+        kit, came = await kit_with_server(settings=settings)
+        client = await kit.client()
+        data = command(fields=b"c=lookup,t=village,d=400")
+        await write_slowly(kit, client, data, 0.9 * clients.SILENCE_MOST / 2)
+        server = await soon(came)
+        await server.read()
+        server.write(served(b"value"))
+        assert await client.read() == b"value"
+
+    run(test())
+
+
 def test_half_a_command_makes_way_only_with_nothing_in_hand():
     """Guards requests where others wait for a descriptor."""
 
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -171,7 +171,8 @@
 
     def stopped(self, connection: ClientConnection, last: float, now: float) -> bool:
         """Whether a command's rest does not come: after silence, or past the time of any request."""
-        silent, late = last <= now - SILENCE_MOST, connection.begun_at <= now - self.longest
+        silent = last <= now - SILENCE_MOST
+        late = connection.begun_at <= now - max(self.longest, SILENCE_MOST)
         return (silent or late) and not connection.slow  # else it is us who read no further
 
     def drain(self) -> bool:
