--- a/tests/crossing_clients.py
+++ b/tests/crossing_clients.py
@@ -25,15 +25,14 @@
 from pathlib import Path
 
 import hiredis
-from aiohttp import web
+from discoverykit import ENTRY, discovery, whole
 from netkit import HOST, configuration, options, served
+from processkit import ROOT
 
-ROOT = Path(__file__).parent.parent
 SERVERS = 12
 LATE = 0.55  # s past its time in which an answer still counts, and a little for this process
 CROSSING = 0.02  # s before the end of a connection in which a request may not have been read
 DRAIN = 5.0  # s for which clients go on asking after SIGTERM
-ENTRY = {"site": "a", "block": 0, "health": "Ready", "share": 1, "born_ms": 0}
 NONSENSE = hiredis.pack_command(("NONSENSE",))
 KINDS = ("pipelined", "half", "nonsense", "unknown", "slow reader", "chain", "chain", "idle", "large body")
 
@@ -183,30 +182,17 @@
 
 
 async def stand_ins(rng: random.Random) -> tuple[str, dict]:
-    """Servers and discovery: the address of the latter, and the list that it gives."""
+    """Servers, and discovery that tells of them once and falls silent: its address, and the list."""
     entries = []
     for i in range(SERVERS):
         listener = await asyncio.start_server(lambda r, w: serve(r, w, rng), HOST, 0)
         dial = "{}:{}".format(*listener.sockets[0].getsockname())
         entries.append(ENTRY | {"host": f"s{i}", "dial": dial})
-    hosts = {"seq": 1, "whole": True, "hosts": entries}
+    address, _ = await discovery([whole(1, *entries)])
+    return address, {"seq": 1, "whole": True, "hosts": entries}
 
-    async def answer(request: web.Request) -> web.Response:
-        if "since" not in request.query:
-            return web.json_response(hosts)
-        await asyncio.sleep(2.0)
-        return web.json_response({"seq": 1, "whole": False, "hosts": []})
 
-    app = web.Application()
-    app.router.add_get("/discovery/hosts", answer)
-    runner = web.AppRunner(app)
-    await runner.setup()
-    site = web.TCPSite(runner, HOST, 0)
-    await site.start()
-    return "{}:{}".format(*site._server.sockets[0].getsockname()), hosts
-
-
-def gateway_configuration(discovery: str, hosts: dict, port: int, sockets: int) -> dict:
+def gateway_configuration(address: str, hosts: dict, port: int, sockets: int) -> dict:
     """A gateway whose quotas bind nobody."""
     settings = options()
     for cls in settings["classes"]:
@@ -214,17 +200,17 @@
     for plan in settings["contracts"]:
         plan.update(refill=500.0, burst=1000.0, max_out=0, cap_rate=0.0)
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": sockets}
-    where = {"listen": f"{HOST}:{port}", "discovery": discovery, "known": hosts}
+    where = {"listen": f"{HOST}:{port}", "discovery": address, "known": hosts}
     return configuration(settings=settings, limits=limits, **where)
 
 
 async def main(options: argparse.Namespace) -> int:
     """Play, end the gateway with SIGTERM while clients go on, and tell what was found."""
-    discovery, hosts = await stand_ins(random.Random(options.seed))
+    agent, hosts = await stand_ins(random.Random(options.seed))
     with socket.create_server((HOST, 0)) as probe:
         address = probe.getsockname()
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
-        json.dump(gateway_configuration(discovery, hosts, address[1], options.sockets), file)
+        json.dump(gateway_configuration(agent, hosts, address[1], options.sockets), file)
         file.flush()
         environ = {**os.environ, "EDGE_CONFIG": file.name}
         gateway = await asyncio.create_subprocess_exec(
