Work out the longest deadline of all classes in one place

The drain, the most that a client may want to wait and the time for slow writers each took it from the classes; Settings.longest_deadline serves the three. make_way looks through half-written commands only where nobody else can make way.

--- a/thymehinge/interface.py
+++ b/thymehinge/interface.py
@@ -135,6 +135,11 @@
     tick: float = 0.001
     cross_zone_price: float = 0.0
 
+    @property
+    def longest_deadline(self) -> float:
+        """Seconds that a request of any class has at most."""
+        return max(cls.deadline for cls in self.classes)
+
     def __post_init__(self) -> None:
         """Raise ValueError, naming the setting, where a value makes no sense."""
 
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -44,7 +44,7 @@
         self.open, self.paused, self.draining = 0, False, False  # open: descriptors, also of what is closing
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections: set[ClientConnection] = set()
-        self.longest = max(c.deadline for c in settings.classes)
+        self.longest = settings.longest_deadline
         self.newcomers: dict[ClientConnection, None] = {}  # no request taken from them yet
         self.idle: dict[ClientConnection, None] = {}  # between requests
         self.partial: dict[ClientConnection, float] = {}  # in the middle of a command, its latest bytes when
@@ -131,8 +131,10 @@
         """
         before = self.clock() - NEWCOMER_LEAST
         newcomer = next((c for c in self.newcomers if c not in self.partial and c.since <= before), None)
-        slow_writer = next((c for c in self.partial if not c.pending and c.begun_at <= before), None)
-        if leaving := newcomer or next(iter(self.idle), None) or slow_writer:
+        leaving = newcomer or next(iter(self.idle), None)
+        if leaving is None:  # who writes slowly comes last
+            leaving = next((c for c in self.partial if not c.pending and c.begun_at <= before), None)
+        if leaving is not None:
             leaving.end()
 
     def stop_watching(self, connection: ClientConnection) -> None:
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -34,7 +34,7 @@
         }
         self.plans = {p.name.encode(): p.name for p in settings.plans}
         self.max_units, self.gateways = settings.max_units, settings.gateways
-        self.wait_most = max(WAIT_MOST, WAIT_PART * max(c.deadline for c in settings.classes))
+        self.wait_most = max(WAIT_MOST, WAIT_PART * settings.longest_deadline)
 
 
 FIELDS = frozenset((b"c", b"t", b"d", b"k", b"r", b"units", b"spread", b"first"))
