--- a/tests/discoverykit.py
+++ b/tests/discoverykit.py
@@ -17,7 +17,10 @@
 
 
 async def discovery(answers: list, at: socket.socket | None = None) -> tuple[str, list[str]]:
-    """An agent with an answer for each call, silent after the last, at a socket or a new one; its calls."""
+    """An agent with an answer for each call, or a coroutine function that gives it, silent after the last.
+
+    It listens at a socket or a new one; returned are its address and its calls.
+    """
     calls: list[str] = []
 
     async def handle(request: web.Request) -> web.StreamResponse:
@@ -27,6 +30,8 @@
         answer = answers[len(calls) - 1]
         if answer == SILENT:
             await asyncio.sleep(60)
+        if callable(answer):
+            answer = await answer()
         if answer is None:
             request.transport.abort()
         return answer or web.Response()
--- a/tests/processkit.py
+++ b/tests/processkit.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
+import socket
 import subprocess
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).parent.parent
+HOST = "127.0.0.1"
+PING, PONG = b"*1\r\n$4\r\nPING\r\n", b"+PONG\r\n"
 
 
 def start(path: Path, config: object, **environ: str) -> subprocess.Popen:
@@ -21,3 +28,43 @@
         stderr=subprocess.PIPE,
         text=True,
     )
+
+
+def free_port() -> int:
+    """A port of the loopback address that the system has just had free."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+@asynccontextmanager
+async def serving(
+    path: Path, config: dict[str, Any], patience: float = 10.0, **environ: str
+) -> AsyncIterator[subprocess.Popen]:
+    """The program as a process that has answered +PONG within so many seconds; killed at the end."""
+    process = start(path, config, **environ)
+    host, port = config["listen"].rsplit(":", 1)
+    try:
+        async with asyncio.timeout(patience):
+            while not await is_ready(host, int(port)):
+                assert process.poll() is None, f"it ended with {process.returncode}: {process.stderr.read()}"
+                await asyncio.sleep(0.01)
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+async def is_ready(host: str, port: int) -> bool:
+    """Whether a new connection is answered +PONG."""
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+    except ConnectionError:
+        return False
+    try:
+        writer.write(PING)
+        return await reader.readline() == PONG
+    except ConnectionError:
+        return False
+    finally:
+        writer.close()
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,118 @@
+"""When a table server started: wall clocks may be stepped by an hour before and after the gateway's start."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+
+import pytest
+from discoverykit import ENTRY, discovery, whole
+from faultkit import Faults
+from netkit import CUSTOMER, HOST, ID, Wire, command, configuration, options, run
+from processkit import free_port, serving
+from test_descriptors import TableServer
+
+HOUR = 3600.0
+SECONDS = 2.0  # of traffic that is counted
+
+
+async def table_server(name: str) -> tuple[TableServer, dict]:
+    """A server that answers at once with its name, and its entry, started long ago."""
+    server = await TableServer(name).listen()
+    return server, ENTRY | {"host": name, "dial": server.dial, "born_ms": 0}
+
+
+async def shares(port: int, seconds: float) -> Counter[bytes]:
+    """Who answered the requests of four clients, each of a customer of its own."""
+    counts: Counter[bytes] = Counter()
+
+    async def client(number: int) -> None:
+        wire, until = Wire(*await asyncio.open_connection(HOST, port)), time.monotonic() + seconds
+        for i in range(10**6):
+            if time.monotonic() >= until:
+                return wire.writer.close()
+            wanted = command().replace(ID, b"%08x%08x" % (number, i))
+            wire.write(wanted.replace(CUSTOMER, b"%016x" % (number * 10**5 + i)))
+            counts[await wire.read()] += 1
+            await asyncio.sleep(0.02)
+
+    await asyncio.gather(*(client(i) for i in range(4)))
+    return counts
+
+
+def gateway_configuration(discovery_address: str, port: int, cold_time: float, known: dict | None) -> dict:
+    settings = options()
+    settings["obligations"] |= {"cold_from": 0.2, "cold_s": cold_time, "fall_s": 1.0, "fall_multiple": 1.0}
+    settings["bounds"]["peers"] = False
+    where = {"listen": f"{HOST}:{port}", "discovery": discovery_address, "known": known}
+    return configuration(settings=settings, **where)
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        (0.0, 0.0),
+        (0.0, -HOUR),
+        (0.0, HOUR),
+        (HOUR, 0.0),
+        (HOUR, -HOUR),
+        (-HOUR, 0.0),
+        (0.0, -8.0),
+        (0.0, 8.0),
+    ],
+)
+def test_a_server_told_as_newly_started_is_cold_whatever_the_clock_says(tmp_path, before, after):
+    """Guards cold servers: one started just now got as much as a warm one after a step of an hour.
+
+    The clock of the gateway is wrong by `before` at its start; all clocks step by `after` before the server
+    starts.
+    """
+
+    async def test() -> None:
+        faults = Faults(tmp_path, clock_step_ms=round(before * 1000))
+        started = asyncio.Event()
+        _, warm = await table_server("warm")
+        _, cold = await table_server("cold")
+
+        async def news():
+            await started.wait()
+            return whole(2, cold | {"born_ms": round((time.time() + after) * 1000)}, complete=False)
+
+        address, calls = await discovery([whole(1, warm), news, whole(2, complete=False)])
+        port = free_port()
+        config = gateway_configuration(address, port, 10.0, None)
+        async with serving(tmp_path / "config.json", config, **faults.environ):
+            await shares(port, 1.5)  # it learns what a warm server bears
+            faults.set(clock_step_ms=round((before + after) * 1000))
+            while len(calls) < 2:
+                await asyncio.sleep(0.01)
+            started.set()
+            while len(calls) < 3:
+                await asyncio.sleep(0.01)
+            counts = await shares(port, SECONDS)
+        assert counts[b"warm"] > 50 and counts[b"cold"] < 0.25 * counts[b"warm"]
+
+    run(test())
+
+
+@pytest.mark.parametrize("kind", ["known", "told"])
+def test_a_server_that_started_in_the_future_of_a_slow_clock_does_not_stay_cold(tmp_path, kind):
+    """Guards service: the gateway's clock is an hour behind; the server is warm after its time, not an hour."""
+
+    async def test() -> None:
+        faults = Faults(tmp_path, clock_step_ms=round(-HOUR * 1000))
+        _, old = await table_server("old")
+        _, recent = await table_server("recent")
+        entries = old, recent | {"born_ms": round((time.time() - 60.0) * 1000)}
+        known = {"seq": 1, "whole": True, "hosts": list(entries)}
+        address, _ = await discovery([whole(1, *entries)])
+        port = free_port()
+        config = gateway_configuration(address, port, 1.0, known if kind == "known" else None)
+        async with serving(tmp_path / "config.json", config, **faults.environ):
+            await asyncio.sleep(1.2)
+            await shares(port, 1.0)
+            counts = await shares(port, SECONDS)
+        assert counts[b"recent"] > 0.3 * counts[b"old"]
+
+    run(test())
