Work out when a server started by what was told, not by a wall clock that may step

Cause: born_ms was compared with Unix time as of the gateway's start (Fleet.warmth by way of read_host). Ruled out: the gateway's own clock, which is monotonic. Change: StartTimes turns a start into a time of our clock when it is told, once for each start: by the wall clock of that moment, but as just now where that can't be right, in the future or long before the last list, which lacked it.

--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -20,6 +20,7 @@
 from thymehinge.net.exchange import Exchange
 from thymehinge.net.peers import Peers
 from thymehinge.net.servers import Attempt, Servers
+from thymehinge.net.start_times import StartTimes
 
 WAY = 0.004  # s of a client's time for the ways to and from it
 LAG_MOST = 0.05  # s of it kept at most for the loop's own lag
@@ -55,6 +56,7 @@
         self.clients = Clients(
             config.settings, spare - most, self.on_request, self.on_left, self.ready, clock
         )
+        self.start_times = StartTimes(config.settings.cold_time, clock)
         self.peers = Peers(config.peers, config.peers_all, config.settings.gateway, self.on_peer)
         self.exchanges: dict[int, Exchange] = {}
         self.events: deque[api.Event] = deque()
@@ -125,10 +127,11 @@
         """Discovery's list or changes. The module hears first: sends that waited then go elsewhere."""
         if kind is None:
             kind = api.ListKind.FULL if hosts.whole else api.ListKind.CHANGES
-        self.listed = self.listed or bool(hosts.servers) or kind is api.ListKind.FULL
-        self.servers.add(hosts.servers, hosts.dials)
-        self.give(api.ServerList(kind, hosts.version, hosts.servers))
-        self.servers.remove(hosts.servers, kind is not api.ListKind.CHANGES)
+        servers = self.start_times.resolve(hosts.servers, kind)
+        self.listed = self.listed or bool(servers) or kind is api.ListKind.FULL
+        self.servers.add(servers, hosts.dials)
+        self.give(api.ServerList(kind, hosts.version, servers))
+        self.servers.remove(servers, kind is not api.ListKind.CHANGES)
 
     def on_peer(self, sender: int, body: bytes) -> None:
         self.give(api.PeerMessage(sender, body))
