--- /dev/null
+++ b/tests/test_arrival_times.py
@@ -0,0 +1,181 @@
+"""A request's time counts from its last byte, wherever that lay before it was read."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from contextlib import suppress
+
+import hiredis
+import pytest
+from netkit import (
+    CUSTOMER,
+    HOST,
+    ID,
+    PATIENCE,
+    Kit,
+    Wire,
+    command,
+    hosts,
+    kit_with_server,
+    options,
+    run,
+    served,
+    soon,
+)
+
+from thymehinge import interface as api
+
+SLACK = 0.15  # s that the time told to a server may be over what is left, by the standing test
+GRACE = 0.5  # s past its time in which an answer still counts as one
+TIME_TOLD = re.compile(rb"d=([0-9]+)")
+
+
+def numbered(i: int, fields: bytes) -> bytes:
+    """A request of its own id and customer."""
+    return command(fields=fields).replace(ID, b"%016x" % i).replace(CUSTOMER, b"%016x" % i)
+
+
+class SlowServer:
+    """Answers after a delay, and notes until when each request was to be waited for."""
+
+    def __init__(self, delay: float, clock) -> None:
+        self.delay, self.clock, self.ends = delay, clock, []
+
+    async def listen(self) -> str:
+        listener = await asyncio.start_server(self.serve, HOST, 0)
+        return "{}:{}".format(*listener.sockets[0].getsockname())
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        wire = Wire(reader, writer)
+        with suppress(EOFError, ConnectionError, TimeoutError):
+            while True:
+                words = await wire.read()
+                self.ends.append(self.clock() + int(TIME_TOLD.search(words[3])[1]) / 1000)
+                await asyncio.sleep(self.delay)
+                wire.write(served(words[2]))
+
+
+def test_hundreds_of_commands_at_once_have_their_time_from_when_they_came():
+    """Guards the time told: commands beyond those in hand began their time when they were read on."""
+
+    async def test() -> None:
+        settings = options()
+        settings["contracts"][0] |= {"refill": 1000.0, "burst": 1000.0}
+        kit = Kit(settings=settings)
+        servers = [SlowServer(0.7, kit.driver.clock) for _ in range(4)]
+        dials = {f"s{i}": await server.listen() for i, server in enumerate(servers)}
+        kit.driver.on_list(hosts(**dials))
+        client, many = await kit.client(), 900
+        client.write(b"".join(numbered(i, b"c=lookup,t=village,d=1000") for i in range(many)))
+        sent = kit.driver.clock()
+        for _ in range(many):
+            await client.read()
+        assert kit.driver.clock() - sent < 1.0 + GRACE
+        ends = [end for server in servers for end in server.ends]
+        assert ends and max(ends) <= sent + 1.0 + SLACK
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["full", "slow"])
+def test_what_lies_unread_while_reading_is_paused_loses_its_time(how, monkeypatch):
+    """Guards the time told: the kernel holds the second request while we read no further."""
+    monkeypatch.setattr("thymehinge.net.client_connection.PIPELINED", 1 if how == "full" else 256)
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client = await kit.client()
+        client.write(command(fields=b"c=lookup,t=village,d=3000"))
+        server = await soon(came)
+        await server.read()
+        (connection,) = kit.driver.clients.connections
+        if how == "slow":
+            connection.pause_writing()
+        await kit.until(api.Request)
+        await asyncio.sleep(0.6)
+        kit.driver.clients.sweep()
+        client.write(numbered(2, b"c=lookup,t=village,d=1000"))
+        await asyncio.sleep(0.6)
+        if how == "slow":
+            connection.resume_writing()
+        server.write(served(b"value"))
+        second = await kit.until(api.Request)
+        assert second.time_left <= 0.4 + 0.02
+        assert second.time_left > 0.0  # it did not lie there for as long as reading was paused
+
+    run(test())
+
+
+def test_what_came_while_its_connection_waited_to_be_taken_in_loses_its_time():
+    """Guards the time told: the machine has accepted the connection, which waits for a descriptor."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        first = await kit.client()
+        first.write(command())
+        await (await soon(came)).read()
+        await kit.until(api.Request)
+        kit.driver.clients.most = 1
+        waiting = await kit.client()
+        async with asyncio.timeout(PATIENCE):
+            while not kit.driver.clients.paused:
+                await asyncio.sleep(0)
+        await asyncio.sleep(0.3)
+        waiting.write(numbered(2, b"c=lookup,t=village,d=1000"))
+        await asyncio.sleep(0.5)
+        kit.driver.clients.most = 2
+        kit.driver.clients.sweep()
+        second = await kit.until(api.Request)
+        assert 0.3 < second.time_left <= 0.5 + 0.02
+
+    run(test())
+
+
+@pytest.mark.parametrize("wait", [b"1", b"3"])
+def test_a_request_with_no_time_left_is_refused_at_once(wait):
+    """Guards the time told: what is sent on has a millisecond at least."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client = await kit.client()
+        client.write(command(fields=b"c=lookup,t=village,d=" + wait))
+        assert str(await client.read()).startswith("BUSY")
+        assert came.empty() and not kit.driver.exchanges and not kit.driver.clients.ids
+        assert kit.events.empty() or not isinstance(kit.events.get_nowait(), api.Request)
+
+    run(test())
+
+
+def test_a_retry_is_told_what_is_left_then():
+    """Guards it for a further attempt: the first took most of the time, its failure came late."""
+
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client = await kit.client()
+        client.write(command(fields=b"c=lookup,t=village,d=3000"))
+        server = await soon(came)
+        await server.read()
+        kit.ahead += 2.0
+        server.write(b"-ERR failed\r\n")
+        again = await soon(came)
+        words = await again.read()
+        assert int(TIME_TOLD.search(words[3])[1]) <= 1000
+        again.write(served(b"value"))
+        assert await client.read() == b"value"
+
+    run(test())
+
+
+def test_what_is_refused_for_want_of_time_harms_no_other():
+    async def test() -> None:
+        kit, came = await kit_with_server()
+        client = await kit.client()
+        client.write(numbered(1, b"c=lookup,t=village,d=2") + numbered(1, b"c=lookup,t=village,d=3000"))
+        server = await soon(came)
+        assert (await server.read())[2] == b"%016x" % 1
+        server.write(served(b"value"))
+        assert isinstance(await client.read(), hiredis.ReplyError)
+        assert await client.read() == b"value"
+
+    run(test())
