--- a/tests/processkit.py
+++ b/tests/processkit.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import tomllib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -18,11 +19,16 @@
 PING, PONG = b"*1\r\n$4\r\nPING\r\n", b"+PONG\r\n"
 
 
-def start(path: Path, config: object, **environ: str) -> subprocess.Popen:
+def start(path: Path, config: object, as_deployed: bool = False, **environ: str) -> subprocess.Popen:
+    """The program with this configuration, by the deploy file's `run` in a shell where that is asked for."""
+    program = [sys.executable, "-m", "thymehinge"]
+    if as_deployed:
+        deployed = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        program = ["/bin/sh", "-c", deployed.replace(".venv/bin/python", sys.executable)]
     path.write_text(config if isinstance(config, str) else json.dumps(config))
     own = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
     return subprocess.Popen(
-        [sys.executable, "-m", "thymehinge"],
+        program,
         cwd=ROOT,
         env=own | {"EDGE_CONFIG": str(path)} | environ,
         stderr=subprocess.PIPE,
--- /dev/null
+++ b/tests/test_start_faults.py
@@ -0,0 +1,128 @@
+"""A start while system calls fail for a moment, and signals in it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import signal
+import socket
+import threading
+import time
+from pathlib import Path
+
+import pytest
+from discoverykit import ENTRY
+from faultkit import Faults
+from netkit import CUSTOMER, HOST, Wire, command, configuration, run, served, soon
+from processkit import free_port, is_ready, serving, start
+
+FAILING = 1.0  # s of the start in which calls fail
+ALL = 1000  # of 1,000 calls
+KNOWN = {"seq": 1, "whole": True, "hosts": [ENTRY]}
+
+
+def config_at(port: int, **changes: object) -> dict:
+    """A gateway with a known list and a datagram socket, discovery being down."""
+    own = f"{HOST}:{free_port()}"
+    where = {"listen": f"{HOST}:{port}", "discovery": f"{HOST}:1", "peer_listen": own, "peers": [own]}
+    return configuration(known=KNOWN, **where, **changes)
+
+
+@pytest.mark.parametrize("call", ["socket_share", "open_share", "epoll_share"])
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_a_start_outlasts_system_calls_that_fail_for_a_moment(tmp_path, call, error):
+    """Guards the start: a machine where many processes start at once lacks memory or files for a moment."""
+
+    async def test() -> None:
+        faults, port = Faults(tmp_path, error=error, **{call: ALL}), free_port()
+        threading.Timer(FAILING, lambda: faults.set(**{call: 0})).start()
+        async with serving(tmp_path / "config.json", config_at(port), **faults.environ) as process:
+            assert process.poll() is None
+
+    run(test())
+
+
+@pytest.mark.parametrize("which", ["listen", "peer_listen"])
+def test_a_port_that_a_predecessor_still_holds_is_waited_for(tmp_path, which):
+    """Guards the restart: a process just killed may still hold its addresses for a moment."""
+
+    async def test() -> None:
+        port = free_port()
+        config = config_at(port)
+        held = socket.socket(type=socket.SOCK_STREAM if which == "listen" else socket.SOCK_DGRAM)
+        host, _, number = config[which].rpartition(":")
+        held.bind((host, int(number)))
+        if which == "listen":
+            held.listen()
+        threading.Timer(FAILING, held.close).start()
+        async with serving(tmp_path / "config.json", config) as process:
+            assert process.poll() is None
+
+    run(test())
+
+
+def test_what_stays_wrong_ends_the_start_at_once(tmp_path):
+    """Guards the operator: an address that is not this machine's is no trouble that passes."""
+    process = start(tmp_path / "config.json", config_at(free_port(), name="n") | {"listen": "192.0.2.1:7"})
+    begun = time.monotonic()
+    error = process.communicate(timeout=20)[1]
+    assert process.returncode == 2 and error.startswith("thymehinge: ") and error.count("\n") == 1
+    assert time.monotonic() - begun < 5.0
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.3])
+def test_sighup_at_any_moment_of_a_start_ends_nothing(tmp_path, delay):
+    """Guards the start: `run` in the deploy file ignores SIGHUP until the program listens for it."""
+
+    async def test() -> None:
+        port = free_port()
+        process = start(tmp_path / "config.json", config_at(port), as_deployed=True)
+        try:
+            while b"python" not in Path(f"/proc/{process.pid}/cmdline").read_bytes().split(b"\0")[0]:
+                await asyncio.sleep(0)  # it is still the shell
+            await asyncio.sleep(delay)
+            process.send_signal(signal.SIGHUP)
+            async with asyncio.timeout(10):
+                while not await is_ready(HOST, port):
+                    assert process.poll() is None
+                    await asyncio.sleep(0.01)
+        finally:
+            process.kill()
+            process.communicate()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "error", [errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED, errno.EINTR, errno.EMFILE]
+)
+def test_accepts_that_fail_now_and_then_hold_nobody_up(tmp_path, error):
+    """Guards requests with short deadlines: after a failure nobody was taken in for a quarter of a second."""
+
+    async def test() -> None:
+        came: asyncio.Queue[Wire] = asyncio.Queue()
+        server = await asyncio.start_server(lambda r, w: came.put_nowait(Wire(r, w)), HOST, 0)
+        dial = "{}:{}".format(*server.sockets[0].getsockname())
+        faults, port = Faults(tmp_path, error=error), free_port()
+        known = {"seq": 1, "whole": True, "hosts": [ENTRY | {"dial": dial}]}
+        config = config_at(port) | {"known": known}
+        async with serving(tmp_path / "config.json", config, **faults.environ):
+            faults.set(accept_share=400)
+            stay = []  # a connection that ends has the next one taken in
+            for i in range(12):
+                client = Wire(*await asyncio.open_connection(HOST, port))
+                client.write(command(fields=b"c=lookup,t=village,d=200").replace(CUSTOMER, b"%016x" % i))
+                answering = asyncio.create_task(answer(came))
+                assert await client.read() == b"value"
+                await answering
+                stay.append(client)
+
+    run(test())
+
+
+async def answer(came: asyncio.Queue[Wire]) -> None:
+    """Serve one request on a new connection, and close it."""
+    server = await soon(came)
+    await server.read()
+    server.write(served(b"value"))
+    server.writer.close()
