Try a start again while system calls fail for a moment, and take in clients soon after a failed accept

Seen: ENFILE, ENOBUFS or ENOMEM from socket() in the first second ended the start with exit code 2; so did a configuration that could not be opened just then, and an address that a predecessor still held. SIGHUP before the program listened for it ended it. After a failed accept nobody was taken in for up to 0.25 s (tests/test_start_faults.py). Change: errors that pass are tried again for 20 s, by a new program under the same number, since uvloop can neither run nor close a loop that failed to open its own sockets; what stays wrong still ends the start at once with one line. Accepts go on 0.02 s after a failure.

--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -42,6 +42,19 @@
     run(test())
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_start_outlasts_sockets_of_which_every_other_fails(tmp_path, seed):
+    """Guards each step of the start: the event loop opens sockets of its own, before and after ours."""
+
+    async def test() -> None:
+        faults = Faults(tmp_path, error=errno.ENFILE, socket_share=ALL // 2, epoll_share=ALL // 5, seed=seed)
+        threading.Timer(FAILING, lambda: faults.set(socket_share=0, epoll_share=0)).start()
+        async with serving(tmp_path / "config.json", config_at(free_port()), **faults.environ) as process:
+            assert process.poll() is None
+
+    run(test())
+
+
 @pytest.mark.parametrize("which", ["listen", "peer_listen"])
 def test_a_port_that_a_predecessor_still_holds_is_waited_for(tmp_path, which):
     """Guards the restart: a process just killed may still hold its addresses for a moment."""
--- a/thymehinge/__main__.py
+++ b/thymehinge/__main__.py
@@ -9,10 +9,12 @@
 import signal
 import socket
 import sys
+import time
+from contextlib import suppress
 
 import uvloop
 
-from thymehinge.net.config import Config, ConfigError, load
+from thymehinge.net.config import Address, Config, ConfigError, load
 from thymehinge.net.discovery import Discovery
 from thymehinge.net.driver import Driver, anchored_clock
 
@@ -20,34 +22,101 @@
 ACCEPT = 0.45  # s after SIGTERM for which clients still connect, by protocol, and a little more
 KILL, KILL_DEADLINE, KILL_MARGIN = 0.7, 3.0, 0.3  # s from SIGTERM to SIGKILL beside the longest deadline
 DRAIN_LOOK = 0.01  # s between looks at who is left while draining
+START_MOST = 20.0  # s for which a start is tried again: after 30 s without readiness it counts as failed
+START_PAUSE = 0.05  # s between two tries of a start
+GIVE_UP_AT = "THYMEHINGE_GIVE_UP_AT"  # variable: when a program that is tried anew gives up (s, monotonic)
 
 log = logging.getLogger(__name__)
 
 
-async def serve(config: Config) -> None:
-    """Run until SIGTERM, then finish what is held."""
+def execute_anew(give_up_at: float) -> None:
+    """Replace this process by one that starts from nothing, under the same number, if the system lets us."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # its handler does not outlast this
+    with suppress(OSError):
+        os.execve(sys.executable, sys.orig_argv, {**os.environ, GIVE_UP_AT: str(give_up_at)})
+
+
+class Program:
+    """One gateway from its start to its end."""
+
+    def __init__(self) -> None:
+        self.serving = False
+        self.reload_due = False  # SIGHUP came before there was anything to reload
+
+    def run(self) -> int:
+        """Start, again and again while what fails may pass, and serve; the exit code.
+
+        A loop that could not open its own sockets can't be run again nor closed: a new program tries anew.
+        """
+        give_up_at = float(os.environ.pop(GIVE_UP_AT, time.monotonic() + START_MOST))
+        while True:
+            signal.signal(signal.SIGHUP, self.note_reload)
+            try:
+                self.run_once()
+                return 0
+            except ConfigError as error:
+                if not error.passing or time.monotonic() >= give_up_at:
+                    print(f"thymehinge: {error}", file=sys.stderr)
+                    return 2
+                log.warning("start: %s; trying again", error)
+            time.sleep(START_PAUSE)
+            execute_anew(give_up_at)
+
+    def run_once(self) -> None:
+        """Read the configuration and serve; ConfigError where the start fails."""
+        config = load(os.environ)
+        runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+        try:
+            runner.run(self.serve(config))
+        except OSError as error:
+            if self.serving:
+                raise
+            raise ConfigError(f"event loop: {error.strerror or error}", error) from None
+        finally:
+            with suppress(OSError, RuntimeError):  # see `run`
+                runner.close()
+
+    def note_reload(self, *_: object) -> None:
+        self.reload_due = True
+
+    async def serve(self, config: Config) -> None:
+        """Run until SIGTERM, then finish what is held."""
+        loop, stop = asyncio.get_running_loop(), asyncio.Event()
+        driver = Driver(config, anchored_clock())
+        discovery = Discovery(driver.on_list, config.memory)
+        await open_sockets(driver, config)
+        self.serving = True
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, reload, discovery)
+        discovery.move(config.discovery)
+        if self.reload_due:
+            reload(discovery)
+        driver.listening = driver.clock()
+        log.info("gateway %s listens at %s:%d", config.name or "without a name", *config.listen)
+        gc.collect()
+        gc.freeze()  # what the start made stays; a collection then looks at little and pauses little
+        await stop.wait()
+        await drain(driver)
+        discovery.stop()
+
+
+async def open_sockets(driver: Driver, config: Config) -> None:
+    """Listen for peers, then for clients: who has connected must not be turned away by a start that fails."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    driver = Driver(config, anchored_clock())
-    discovery = Discovery(driver.on_list, config.memory)
-    loop.add_signal_handler(signal.SIGHUP, reload, discovery)
     try:
         if config.peer_listen is not None:
-            await loop.create_datagram_endpoint(lambda: driver.peers, local_addr=config.peer_listen)
-        family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
-        driver.clients.listen(socket.create_server(config.listen, family=family, backlog=BACKLOG))
+            datagrams = socket.socket(family(config.peer_listen), socket.SOCK_DGRAM)
+            datagrams.bind(config.peer_listen)
+            await loop.create_datagram_endpoint(lambda: driver.peers, sock=datagrams)
+        listener = socket.create_server(config.listen, family=family(config.listen), backlog=BACKLOG)
+        driver.clients.listen(listener)
     except OSError as error:
-        raise ConfigError(f"listen or peer_listen: {error.strerror or error}") from None
-    discovery.move(config.discovery)
-    driver.listening = driver.clock()
-    log.info("gateway %s listens at %s:%d", config.name or "without a name", *config.listen)
-    gc.collect()
-    gc.freeze()  # what the start made stays; a collection then looks at little and pauses little
-    await stop.wait()
-    await drain(driver)
-    discovery.stop()
+        raise ConfigError(f"listen or peer_listen: {error.strerror or error}", error) from None
+
+
+def family(address: Address) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
 
 
 def reload(discovery: Discovery) -> None:
@@ -83,14 +152,7 @@
 def main() -> int:
     """Start from the environment; 2 where the configuration is no good."""
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
-    try:
-        config = load(os.environ)
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
-    except ConfigError as error:
-        print(f"thymehinge: {error}", file=sys.stderr)
-        return 2
-    return 0
+    return Program().run()
 
 
 if __name__ == "__main__":
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -17,6 +17,7 @@
 NEWCOMER_LEAST = 0.2  # s of it in any case: the first request of one just taken in is on its way
 SILENCE_MOST = 2.0  # s of silence in the middle of a command
 IDLE_MOST = 10.0  # s between requests after which a connection has to close
+ACCEPT_PAUSE = 0.02  # s after an accept that failed: the machine may be short of memory or files for a moment
 ACCEPTS = 16  # connections taken in at once, lest a burst of them hold up those that are there
 
 log = logging.getLogger(__name__)
@@ -99,6 +100,7 @@
                 return False
             except OSError as error:
                 log.warning("accept: %s", error.strerror)
+                self.loop.call_later(ACCEPT_PAUSE, self.resume)
                 return self.pause()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.open += 1
--- a/thymehinge/net/config.py
+++ b/thymehinge/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -15,8 +16,28 @@
 MEMORY_MB = 192.0  # MiB where the configuration names no limit: the most on the operators' days
 
 
+PASSING = frozenset(  # errors that a machine under load may answer with for a moment
+    (
+        errno.EADDRINUSE,  # a predecessor that was just killed
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    )
+)
+
+
 class ConfigError(Exception):
-    """A configuration that no gateway can start with; the text names what is wrong."""
+    """What no gateway can start with; the text names what is wrong.
+
+    `cause` is the system's error, where there was one; `passing` tells whether it may be over in a moment.
+    """
+
+    def __init__(self, text: str, cause: OSError | None = None) -> None:
+        super().__init__(text)
+        self.passing = cause is not None and cause.errno in PASSING
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +76,7 @@
         with open(path, encoding="utf-8") as file:
             return read(json.load(file), environ)
     except OSError as error:
-        raise ConfigError(f"EDGE_CONFIG {path}: {error.strerror or error}") from None
+        raise ConfigError(f"EDGE_CONFIG {path}: {error.strerror or error}", error) from None
     except (ValueError, OverflowError, RecursionError) as error:
         raise ConfigError(f"EDGE_CONFIG {path}: {' '.join(str(error).split())}") from None
 
