--- /dev/null
+++ b/tests/test_slow_discovery.py
@@ -0,0 +1,120 @@
+"""Discovery that is slow: a change is told in time, whatever a call takes, and whenever it comes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+
+import pytest
+from aiohttp import web
+from discoverykit import ENTRY, whole
+from netkit import HOST, run
+
+from thymehinge import interface as api
+from thymehinge.net.discovery import HostList, follow
+
+TOLD = 6.0  # s after which a change counts as told, by the standing test
+SLACK = 0.2  # s for this machine, on which some twenty agents answer at once
+
+
+class SlowAgent:
+    """Holds one server, and answers each call a delay after it knows what to say."""
+
+    def __init__(self, delay: float) -> None:
+        self.delay, self.version, self.changed = delay, 1, asyncio.Event()
+        self.silent_before = 0.0  # calls that came before this time are never answered
+
+    async def listen(self) -> str:
+        app = web.Application()
+        app.router.add_get("/discovery/hosts", self.answer)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, HOST, 0)
+        await site.start()
+        return "{}:{}".format(*site._server.sockets[0].getsockname())
+
+    async def answer(self, request: web.Request) -> web.Response:
+        came, since = time.monotonic(), request.query.get("since")
+        if since is not None and int(since) >= self.version:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(int(request.query["timeout_ms"]) / 1000):
+                    await self.changed.wait()
+        health = "Ready" if self.version == 1 else "Terminating"
+        news = [ENTRY | {"health": health}] if since is None or int(since) < self.version else []
+        version = self.version
+        await asyncio.sleep(self.delay)
+        if came < self.silent_before:
+            await asyncio.sleep(60)
+        return whole(version, *news, complete=since is None)
+
+    def drain(self) -> None:
+        """The server drains from now on."""
+        self.version = 2
+        self.changed.set()
+
+
+async def told_after(delay: float, moment: float, silent: bool = False) -> float:
+    """Seconds from a change to when it is told; it comes a moment after the first list was."""
+    agent = SlowAgent(delay)
+    told: asyncio.Queue[HostList] = asyncio.Queue()
+    task = asyncio.create_task(follow(await agent.listen(), told.put_nowait, 2**20))
+    try:
+        async with asyncio.timeout(10.0):
+            await told.get()
+        await asyncio.sleep(moment)
+        if silent:
+            agent.silent_before = time.monotonic()
+        agent.drain()
+        changed = time.monotonic()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(2 * TOLD):
+                while [s.state for s in (await told.get()).servers] != [api.State.DRAINING]:
+                    pass
+        return time.monotonic() - changed
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        await agent.runner.cleanup()
+
+
+MOMENTS = [0.0, 0.3, 0.7, 1.1, 1.6, 1.99, 2.1, 2.6, 3.1, 3.6, 4.1]
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.3, 0.8, 1.4, 2.0])
+def test_a_change_is_told_in_time_by_a_slow_discovery(delay):
+    """Guards the rule on drains: a call that is given up before it can end succeeds never."""
+
+    async def test() -> None:
+        took = await asyncio.gather(*(told_after(delay, moment) for moment in MOMENTS))
+        assert max(took) <= TOLD - SLACK, took
+
+    run(test())
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.8, 1.4, 2.0])
+def test_a_change_is_told_in_time_where_a_slow_discoverys_watch_has_fallen_silent(delay):
+    """Guards the same with another trouble in the same window."""
+
+    async def test() -> None:
+        took = await asyncio.gather(*(told_after(delay, moment, silent=True) for moment in MOMENTS))
+        assert max(took) <= TOLD, took
+
+    run(test())
+
+
+def test_a_move_to_a_slow_discovery_is_done_in_four_seconds():
+    """Guards the 4 s after SIGHUP: its first list comes 2 s after the first call."""
+
+    async def test() -> None:
+        agent, begun = SlowAgent(2.0), time.monotonic()
+        told: asyncio.Queue[HostList] = asyncio.Queue()
+        task = asyncio.create_task(follow(await agent.listen(), told.put_nowait, 2**20))
+        async with asyncio.timeout(10.0):
+            await told.get()
+        assert time.monotonic() - begun < 4.0
+        task.cancel()
+        await agent.runner.cleanup()
+
+    run(test())
