Call discovery beside a call that is overdue, which may be slow, and learn what its answers take

Cause: ask gave each call up ANSWER = 0.7 s after it was due, and a call to a slow agent takes longer each time. Change: a call that is overdue stays out, and another for the whole list begins beside it on a connection of its own, three at most; the first good answer counts. What answers take of late sets when the next is overdue (0.7 to 2.4 s), and a watch waits less where they take long, so that a silent watch and a slow answer fit into the 6 s. CallSchedule decides when, with no clock of its own; the worst order that fits is 5.42 s (before: 5.52 s). A call's own budget is no longer what ends its wait, so that the two tests of budgets hold the time to the next call instead.

--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -12,19 +12,9 @@
 from typing import Any
 
 from thymehinge import interface as api
+from thymehinge.net.call_schedule import CALLS_MOST, SLOWEST, CallSchedule
 from thymehinge.net.http import HttpClient
 
-# A change counts as told 6 s after discovery had it and could be reached, whatever has failed since. In the
-# worst order a watch opened just then falls silent, FAILURES calls after it fail as late as they may, and a
-# good answer comes last and slowly: GAP + (WATCH + ANSWER) + PAUSE + FAILURES x PAUSE_MOST + ANSWER = 5.52 s.
-TOLD = 6.0  # s after which a change counts as told
-FAILURES = 2  # calls in a row that may fail after the one that was out; a third that fails late does not fit
-MARGIN = 0.4  # s of TOLD kept for our own lag: reading four answers, and timers that are late
-WATCH = 2.0  # s that a watch may wait: what it holds back counts as told only so much later
-ANSWER = 0.7  # s that an answer may take beyond that, from the connect to its last byte
-GAP = 0.02  # s between an answer and the next watch, lest one that never waits takes the processor
-PAUSE = 0.1  # s at least between a failed call and the next, under the 200 ms that keep a watch
-PAUSE_MOST = 1.0  # s from call to call while what answers can't be used: it may be overbooked
 SIZE_PART = 1 / 12  # of our memory that an answer's bytes may take: reading a list takes 8 times its bytes
 
 log = logging.getLogger(__name__)
@@ -114,34 +104,102 @@
 
 
 async def follow(address: str, tell: Callable[[HostList], None], size_most: int) -> None:
-    """Tell what one address has; after a failure of any kind ask for the whole list again, with backoff."""
-    client, version, pause = HttpClient(address, size_most), None, PAUSE
+    """Tell what one address has, for ever."""
+    follower = Follower(address, tell, size_most)
     try:
-        while True:
-            started = monotonic()
-            try:
-                hosts = read_list(await ask(client, version))
-                tell(hosts)
-                if hosts.bad:
-                    raise ValueError(f"{hosts.bad[0]}; {len(hosts.bad)} such entries are passed over")
-                if version is not None:  # a whole list alone proves little: watches may be turned away yet
-                    pause = PAUSE
-                version = hosts.version
-                await asyncio.sleep(GAP)
-            except Exception as error:  # whatever it was, the next call may do better
-                log.warning("discovery: %s: %s", type(error).__name__, str(error)[:200])
-                version = None
-                if isinstance(error, AWAY):  # what it has at its return counts as told from that moment on
-                    pause = PAUSE
-                await asyncio.sleep(max(PAUSE, pause - (monotonic() - started)))
-                pause = min(2 * pause, PAUSE_MOST)
+        await follower.run()
     finally:
-        client.close()
+        follower.close()
+
+
+class Call:
+    """A call that has no answer yet; `wait` is how long discovery may hold it as a watch (s), else 0."""
+
+    def __init__(self, client: HttpClient, version: int | None, wait: float, now: float) -> None:
+        self.client, self.wait, self.begun = client, wait, now
+        self.watches = version is not None
+        self.task = asyncio.get_running_loop().create_task(ask(client, version, wait))
+
+    def drop(self) -> None:
+        if not self.task.cancel() and not self.task.cancelled():
+            self.task.exception()  # it has ended already, and nobody asks how
+        self.client.close()
+
 
+class Follower:
+    """Follows one address: watch after watch on a kept connection, and the whole list after any trouble.
 
-async def ask(client: HttpClient, version: int | None) -> Any:
+    Where a call is overdue another one is begun beside it, on a connection of its own: the first may be slow
+    or lost, which can't be told. The first good answer counts, and the other calls are dropped.
+    """
+
+    def __init__(self, address: str, tell: Callable[[HostList], None], size_most: int) -> None:
+        self.address, self.tell, self.size_most = address, tell, size_most
+        self.schedule = CallSchedule(monotonic())
+        self.version: int | None = None  # of the list that is held; None where the whole list is needed
+        self.calls: list[Call] = []  # without an answer, the earliest first
+        self.kept: HttpClient | None = None  # whose connection brought the last good answer
+
+    async def run(self) -> None:
+        while True:
+            now = monotonic()
+            if now >= self.schedule.next_at:
+                self.begin(now)
+            rest = max(0.0, self.schedule.next_at - monotonic())
+            if not self.calls:
+                await asyncio.sleep(rest)
+                continue
+            done, _ = await asyncio.wait(
+                [call.task for call in self.calls], timeout=rest, return_when=asyncio.FIRST_COMPLETED
+            )
+            for call in [call for call in self.calls if call.task in done]:
+                if call in self.calls:
+                    self.end(call)
+
+    def begin(self, now: float) -> None:
+        """The next call: a watch, or for the whole list where one is overdue or has failed."""
+        if self.calls:
+            log.warning("discovery: no answer for %.1f s", now - self.calls[-1].begun)
+            self.version = None
+            self.schedule.overdue()
+        while len(self.calls) >= CALLS_MOST or (self.calls and now - self.calls[0].begun > SLOWEST):
+            patient = len(self.calls) > 1 and now - self.calls[0].begun <= SLOWEST
+            self.calls.pop(int(patient)).drop()
+        client, self.kept = self.kept or HttpClient(self.address, self.size_most), None
+        wait = self.schedule.begin(now, watch=self.version is not None)
+        self.calls.append(Call(client, self.version, wait, now))
+
+    def end(self, call: Call) -> None:
+        """A call has ended: its answer is told, or the whole list is asked for before long."""
+        self.calls.remove(call)
+        now = monotonic()
+        try:
+            hosts = read_list(call.task.result())
+            self.tell(hosts)
+            if hosts.bad:
+                raise ValueError(f"{hosts.bad[0]}; {len(hosts.bad)} such entries are passed over")
+        except Exception as error:  # whatever it was, the next call may do better
+            log.warning("discovery: %s: %s", type(error).__name__, str(error)[:200])
+            call.client.close()
+            self.version = None
+            return self.schedule.failed(now, call.begun, isinstance(error, AWAY), bool(self.calls))
+        self.version, self.kept = hosts.version, call.client
+        for other in self.calls:
+            other.drop()
+        self.calls.clear()
+        return self.schedule.answered(now, now - call.begun - call.wait, call.watches)
+
+    def close(self) -> None:
+        """Break off all that is out."""
+        for call in self.calls:
+            call.drop()
+        if self.kept is not None:
+            self.kept.close()
+
+
+async def ask(client: HttpClient, version: int | None, wait: float) -> Any:
     """One call: a watch where a version is held, else the whole list, which comes at once."""
-    target, budget = "/discovery/hosts", ANSWER
+    target = "/discovery/hosts"
     if version is not None:
-        target, budget = f"{target}?since={version}&timeout_ms={round(WATCH * 1000)}", WATCH + ANSWER
-    return json.loads(await client.get(target, budget, ANSWER))
+        target = f"{target}?since={version}&timeout_ms={round(wait * 1000)}"
+    return json.loads(await client.get(target, wait + SLOWEST))
--- a/thymehinge/net/http.py
+++ b/thymehinge/net/http.py
@@ -28,8 +28,8 @@
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
 
-    async def get(self, target: str, budget: float, connect_budget: float) -> bytearray:
-        """The body of an answer 200, within the budgets (s).
+    async def get(self, target: str, budget: float) -> bytearray:
+        """The body of an answer 200, within the budget (s), from the connect to the last byte.
 
         HttpError for any other answer, and for one that does not come whole; OSError (TimeoutError is one)
         where nothing came in time. A kept connection that turns out closed is opened anew once.
@@ -38,21 +38,20 @@
         try:
             async with asyncio.timeout(budget):
                 try:
-                    return await self.call(target, connect_budget)
+                    return await self.call(target)
                 except ConnectionError:
                     if not kept:
                         raise
                 self.close()
-                return await self.call(target, connect_budget)
+                return await self.call(target)
         except BaseException:
             self.close()
             raise
 
-    async def call(self, target: str, connect_budget: float) -> bytearray:
+    async def call(self, target: str) -> bytearray:
         """One call; ConnectionError only where nothing of an answer has come."""
         if self.writer is None:
-            async with asyncio.timeout(connect_budget):
-                self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
+            self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
             self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         self.writer.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
