Keep to some servers of a large fleet instead of dialling another for each request

Cause: Fleet.pick samples all servers alike, so that nearly each request falls on one with no open connection. Change: from 257 servers on a gateway compares those 128 that answered last, and two others; one that fails is no longer kept to, and while fewer than 128 are known all are drawn from. Up to 256 servers nothing changes.

--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 from contextlib import suppress
 
 from aiohttp import web
@@ -18,10 +19,11 @@
 
 
 class SlowAgent:
-    """Holds one server, and answers each call a delay after it knows what to say."""
+    """Holds one server, or more, and answers each call a delay after it knows what to say."""
 
-    def __init__(self, delay: float) -> None:
+    def __init__(self, delay: float, entries: Sequence[dict] = (ENTRY,)) -> None:
         self.delay, self.version, self.changed = delay, 1, asyncio.Event()
+        self.entries, self.sent = entries, 0  # sent: bytes of lists
         self.silent_before = 0.0  # calls that came before this time are never answered
 
     async def listen(self) -> str:
@@ -40,12 +42,15 @@
                 async with asyncio.timeout(int(request.query["timeout_ms"]) / 1000):
                     await self.changed.wait()
         health = "Ready" if self.version == 1 else "Terminating"
-        news = [ENTRY | {"health": health}] if since is None or int(since) < self.version else []
+        held = since is not None and int(since) >= self.version
+        news = [] if held else [entry | {"health": health} for entry in self.entries]
         version = self.version
         await asyncio.sleep(self.delay)
         if came < self.silent_before:
             await asyncio.sleep(60)
-        return whole(version, *news, complete=since is None)
+        answer = whole(version, *news, complete=since is None)
+        self.sent += len(answer.body)
+        return answer
 
     def drain(self) -> None:
         """The server drains from now on."""
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -43,6 +43,8 @@
 LATE_SHARE = 0.1  # of a class's answers late in a second: its aim counts as missed
 LOAD_PART = 0.5  # of the aim that a server's expected wait may take before work waits here instead
 SAMPLE = 16  # servers compared for a request, drawn anew: cost and herding stay those of a small fleet
+LARGE_FLEET = 256  # servers from which on a gateway keeps to some: elsewhere each request opens a connection
+FAMILIAR, STRANGERS = 128, 2  # servers that it keeps to then; others that are compared with those
 STALL = 0.1  # s that a timer may be late before this gateway must have stood still
 SMOOTH = 0.2  # weight of a new sample in running means
 SLOW_PART, SLOW_MOST, SLOW_USUAL = 0.45, 0.75, 4.0  # parts of its aim, usual latencies: a slow answer
@@ -202,6 +204,7 @@
         self.settings, self.rng = settings, rng
         self.backends: dict[str, Backend] = {}
         self.departed: dict[str, tuple[float, Backend]] = {}  # whom a whole list lacked, kept until
+        self.familiar: dict[str, Backend] = {}  # of a large fleet who answered last, the latest at the end
         self.aim = min(c.aim for c in settings.classes)
         self.usual = self.aim / 6
         self.limit, self.out, self.scale, self.slow_share = LIMIT_FEW, 0.0, 1.0, 0.0
@@ -228,7 +231,13 @@
                 self.backends[entry.server] = Backend(entry, now)
             else:
                 old.entry = entry
-        self.scale = max(1.0, len(self.backends) / SAMPLE)  # who meets a server seldom remembers it longer
+        met = min(len(self.backends), LARGE_FLEET)
+        self.scale = max(1.0, met / SAMPLE)  # who meets a server seldom remembers it longer
+        self.familiar = {
+            name: b
+            for name, b in self.familiar.items()
+            if self.backends.get(name) is b and b.entry.state is State.RUNNING
+        }
         if fresh:
             self.limit = max(LIMIT_FEW, len(self.backends) * min(1.0, LIMIT_FEW / self.settings.gateways))
 
@@ -272,6 +281,27 @@
         turn = zlib.crc32(b"%s %d %d" % (b.entry.server.encode(), now // s.fall_time, s.gateway))
         return turn < budget / work * 2**32
 
+    def sample(self, usable: list[Backend]) -> list[Backend]:
+        """The servers to compare for a request: of a large fleet those it knows to answer, and few others."""
+        if len(usable) <= SAMPLE:
+            return usable
+        if len(self.backends) <= LARGE_FLEET or len(self.familiar) < FAMILIAR:
+            return self.rng.sample(usable, SAMPLE)
+        known = list(self.familiar.values())
+        if len(usable) < len(self.backends):
+            allowed = set(map(id, usable))
+            known = [b for b in known if id(b) in allowed]
+        return self.rng.sample(known, min(SAMPLE, len(known))) + self.rng.sample(usable, STRANGERS)
+
+    def note_answer(self, b: Backend, good: bool) -> None:
+        """Keep to a server of a large fleet that has answered, and no longer to one that has not."""
+        name = b.entry.server
+        self.familiar.pop(name, None)
+        if good and len(self.backends) > LARGE_FLEET and self.backends.get(name) is b:
+            self.familiar[name] = b
+            if len(self.familiar) > FAMILIAR:
+                del self.familiar[next(iter(self.familiar))]
+
     def pick(self, now: float, work: float, aim: float, usable: list[Backend]) -> Backend | None:
         """The least expected delay among servers that would answer in time, failures priced in.
 
@@ -283,7 +313,7 @@
         best, best_cost = None, math.inf
         if self.out > 0 and self.out + work > max(self.limit, LIMIT_FEW):
             return None
-        for b in self.rng.sample(usable, SAMPLE) if len(usable) > SAMPLE else usable:
+        for b in self.sample(usable):
             warmth = self.warmth(b, now)
             cold = warmth < 1
             if b.entry.state is not State.RUNNING or (cold and not self.cold_room(b, now, work, warmth)):
@@ -314,6 +344,8 @@
         work, overtaken = attempt.work, attempt.sent <= self.lost_before(b)
         self.release(attempt)
         b.tried_at = now
+        if result not in (Result.CANCELLED, Result.MOOT, Result.FULL):
+            self.note_answer(b, result is Result.OK)
         if result.never_ran and self.warmth(b, attempt.sent) >= 1:
             self.warm_sent -= work  # what a server has rejected shows nothing of what it bears
         if result in (Result.OK, Result.ERROR, Result.FULL):
