Read what lies unread before a connection at rest is ended

Ruled out: requests that were read. Change: they ask the kernel for unread bytes first (FIONREAD), and leave such a connection open. A close over unread bytes would also have reset answers that were still on their way.

--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -8,9 +8,9 @@
 | `unreadable`: bytes that are no command             | what was taken before is answered, then the error   |
 | `turn_away`: BAD_MOST commands that make no sense   | the same; what stands behind the last is not taken  |
 | `Clients.sweep`: a command's rest does not come     | the same; that command itself has not been taken    |
-| `Clients.sweep`: no request ever, or none for long  | nothing; a command that is coming keeps it open     |
+| `Clients.sweep`: no request ever, or none for long  | nothing; what has come, also unread, keeps it open  |
 | `Clients.make_way`: others wait for a descriptor    | only who has nothing in hand, half a command last   |
-| `Clients.drain`: the process ends                   | requests in hand and half a command keep it open    |
+| `Clients.drain`: the process ends                   | what is in hand, begun or unread keeps it open      |
 | `Driver.abandon_all`: the end of a drain            | all in hand is answered, then as for a drain        |
 | the exit, shortly before the kill                   | what the client has not read by then is lost        |
 | `drop`: the client has closed                       | nothing: its requests are called off                |
@@ -112,6 +112,11 @@
                 self.pending.append(Reply(last_words))
         self.flush()
 
+    def end_at_rest(self) -> None:
+        """End a connection that has nothing in hand, unless a request lies unread: that is read first."""
+        if not unread_bytes(self.sock):
+            self.end()
+
     def close_now(self) -> None:
         """Close with nothing in hand; what is written still goes out, unless the client leaves it unread."""
         self.phase = Phase.CLOSED
@@ -280,9 +285,13 @@
             if self.commands.begun():
                 self.take_all()
 
+    def at_rest(self) -> bool:
+        """Whether nothing of a command has come that is not taken, read or unread."""
+        return not self.commands.begun() and not unread_bytes(self.sock)
+
     def between_requests(self, answered: bool) -> None:
         """Nothing is in hand: close where that was waited for, else the client is between requests."""
-        if self.phase is Phase.ENDING or (self.clients.draining and not self.commands.begun()):
+        if self.phase is Phase.ENDING or (self.clients.draining and self.at_rest()):
             self.clients.stop_watching(self)
             self.close_now()
         elif answered and self not in self.clients.newcomers:
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -148,7 +148,7 @@
         if leaving is None:  # who writes slowly comes last
             leaving = next((c for c in self.partial if not c.pending and c.begun_at <= before), None)
         if leaving is not None:
-            leaving.end()
+            leaving.end_at_rest()
 
     def stop_watching(self, connection: ClientConnection) -> None:
         """A connection is ending: it is nobody's to end again."""
@@ -177,7 +177,7 @@
             connection.look_at_unread()
         for kept, most in ((self.newcomers, NEWCOMER_MOST), (self.idle, IDLE_MOST)):
             for connection in [c for c in kept if c.since <= now - most and c not in self.partial]:
-                connection.end()
+                connection.end_at_rest()
         for connection in [c for c, last in self.partial.items() if self.stopped(c, last, now)]:
             connection.unreadable("the rest of a command does not come")
         unread_most = max(SLOW_MOST, self.longest + LATE_MOST)
