--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -1,4 +1,4 @@
-"""Cold table servers under the sum of what 20, 30 and 200 gateways send.
+"""Cold table servers under the sum of what one to 200 gateways send.
 
 In every window of the settings' length a cold server may get N, what the settings allow it then, and 2 root
 of N + 2 for chance. Each test prints the worst excess over N, in units of root N (`pytest -s`).
@@ -16,7 +16,7 @@
 from thymehinge import interface as api
 from thymehinge.brain import DEPARTED_LIFE, DEPARTED_MOST
 
-SIZES, SPREADS, SEEDS = (20, 30, 200), ("even", "uneven"), range(3)
+SIZES, SPREADS, SEEDS = (1, 2, 3, 5, 20, 30, 200), ("even", "uneven"), range(3)
 TAIL = 1.3  # of the Pareto distribution of traffic over gateways: some see several times the mean
 RULE = dict(cold_share=0.25, cold_time=10.0, fall_multiple=2.0, fall_time=2.0, tick=0.001)
 LEARN = 6.0  # s for gateways to learn what warm servers bear
@@ -151,3 +151,13 @@
     d.give(cold_list("c", started=101.0 if how == "started anew" else 100.0))
     b = d.gateway.fleet.backends["c"]
     assert not b.sent and not b.pending and b.out == 0
+
+
+def test_a_send_to_a_cold_server_does_not_wait_past_the_time_of_its_budget():
+    """What is decided in two windows may be written in one: the budget is half of what is allowed."""
+    d = Drive(settings(peers=False, cold_share=0.9))
+    d.gateway.fleet.warm_rate = 20.0
+    d.give(cold_list("c"))
+    d.request()
+    (send,) = (action for _, action in d.log if isinstance(action, api.Send))
+    assert send.begin_by <= d.now + d.settings.fall_time
