Bound how long a send to a cold server may wait for a connection

Cause: the budget counts decisions; sends that wait for connections are written whenever those come, several windows' at once. Change: such a send begins within the time of the rule, so that no more than two windows of decisions, each half of what is allowed, fall into one.

--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -302,6 +302,10 @@
             if len(self.familiar) > FAMILIAR:
                 del self.familiar[next(iter(self.familiar))]
 
+    def begin_by(self, b: Backend, now: float) -> float:
+        """When a send must have begun: what two windows of a cold server's rule decide may share one."""
+        return now + self.settings.fall_time if self.warmth(b, now) < 1 else math.inf
+
     def pick(self, now: float, work: float, aim: float, usable: list[Backend]) -> Backend | None:
         """The least expected delay among servers that would answer in time, failures priced in.
 
@@ -890,7 +894,8 @@
             return False
         customer.ceiling -= job.units * first
         customer.open += first
-        ref, load, begin_by = (job.req.request, len(job.attempts)), b.load(now) + work, job.begin_by()
+        ref, load = (job.req.request, len(job.attempts)), b.load(now) + work
+        begin_by = min(job.begin_by(), self.fleet.begin_by(b, now))
         attempt = Attempt(b, ref, now, work, load, spec.aim, b.entry.zone, b.entry.cell)
         self.fleet.send(b, now, attempt)
         job.attempts.append(attempt)
