--- a/tests/faultkit.py
+++ b/tests/faultkit.py
@@ -27,6 +27,7 @@
     "stall_share",
     "stall_ms",
     "seed",
+    "stalled_ms",  # told by the process: its longest hold-up
 )
 
 
@@ -52,6 +53,14 @@
         self.environ = {"LD_PRELOAD": os.fspath(library()), "FAULTS_CONTROL": os.fspath(self.path)}
         self.set(**{"seed": 1} | fields)
 
+    def held_up(self) -> float:
+        """Seconds by which a hold-up took longer than it was set to, at the most: the machine was busy."""
+        longest, most = self.get("stalled_ms"), self.get("stall_ms")
+        return max(0, longest - most) / 1000
+
+    def get(self, name: str) -> int:
+        return struct.unpack_from("q", self.map, 8 * FIELDS.index(name))[0]
+
     def set(self, **fields: int) -> None:
         """Set fields by name; the others stay as they are."""
         for name, value in fields.items():
--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -218,6 +218,7 @@
 
 def test_an_answer_that_lies_unread_at_the_close_stays_until_its_deadline():
     """Guards answers that wait in our own buffers: a second was all that they had."""
+
     async def test() -> None:
         kit, came = await kit_with_server()
         client, connection = await large_answer_unread(kit, came)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,7 +10,7 @@
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
-from thymehinge.net.servers import Attempt
+from thymehinge.net.server_connection import Attempt
 
 
 def test_a_second_answer_read_after_a_stall_is_not_the_next_requests():
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -12,7 +12,7 @@
 
 from thymehinge import interface as api
 from thymehinge.interface import Repeat, Result, Scope
-from thymehinge.net.servers import Attempt
+from thymehinge.net.server_connection import Attempt
 
 KEYED = command(b"API.WRITE", b"c=order,t=village,d=3000,k=5c0f", b"BODY")
 STALL = 0.15  # s that a gateway may be held up between reading its clock and writing, by the standing test
--- a/thymehinge/adapter.py
+++ b/thymehinge/adapter.py
@@ -34,6 +34,7 @@
     "error": api.ListKind.FAILED,
 }
 
+
 class WireError(Exception):
     """A line that is not of the protocol; the text says which message and field."""
 
--- a/thymehinge/brain.py
+++ b/thymehinge/brain.py
@@ -651,7 +651,7 @@
         self.wake(max(now, job.deadline - 2 * self.settings.tick), "deadline", job.req.request)
         self.wake(now + self.ask_time(job), "unanswered", job.req.request)  # first, where both come at once
         self.wake(now + DECIDE_PART * max(0.0, req.time_left), "decide", job.req.request)
-        job.worth = cls.spec.worth * customer.plan.price ** 0.5 * job.units / max(self.work(job), 1e-6)
+        job.worth = cls.spec.worth * customer.plan.price**0.5 * job.units / max(self.work(job), 1e-6)
         if not self.fleet.passes(job.worth):
             cls.shed += 1
             return self.finish(now, job, refuse=True, advice=self.settings.max_retry_advice)
@@ -769,7 +769,7 @@
     def tell(self, now: float, peer: int) -> None:
         waiting = self.outbox.pop(peer, [])
         for i in range(0, len(waiting), Notes.MOST):
-            self.actions.append(api.Tell(Notes.write(self.fleet.limit, waiting[i:i + Notes.MOST]), peer))
+            self.actions.append(api.Tell(Notes.write(self.fleet.limit, waiting[i : i + Notes.MOST]), peer))
 
     def bucket(self, now: float, key: int, plan: api.Plan, fill: float) -> Customer:
         """The whole bucket of a customer whose home we are, at first as full as the asker last heard."""
--- a/thymehinge/emulator/discovery.py
+++ b/thymehinge/emulator/discovery.py
@@ -52,8 +52,13 @@
     """Keeps the list; `tell` takes it to a gateway, `change` is called as a server starts, drains, stops."""
 
     def __init__(
-        self, clock: Clock, layout: Layout, rates: Rates, gateways: int,
-        tell: Callable[[int, api.ServerList], None], change: Callable[[api.Server], None],
+        self,
+        clock: Clock,
+        layout: Layout,
+        rates: Rates,
+        gateways: int,
+        tell: Callable[[int, api.ServerList], None],
+        change: Callable[[api.Server], None],
     ) -> None:
         self.clock, self.tell, self.change = clock, tell, change
         self.listed: dict[str, api.Server] = {}
@@ -72,7 +77,10 @@
             zones.setdefault(zone, []).append(name)
         alone = [[name] for name in self.listed]
         self.groups: dict[str, list[list[str]]] = {
-            "restart": alone, "server": alone, "rack": list(racks.values()), "zone": list(zones.values()),
+            "restart": alone,
+            "server": alone,
+            "rack": list(racks.values()),
+            "zone": list(zones.values()),
         }
         for kind, groups in self.groups.items():
             self.next(kind, getattr(rates, kind) * len(groups))
--- a/thymehinge/emulator/entries.py
+++ b/thymehinge/emulator/entries.py
@@ -208,7 +208,7 @@
         for i in range(first, last):
             words = [bytes(bytearray(READ)), b"%016x" % 7, b"%016x" % rng.getrandbits(64)]
             exchange = Exchange([*words, b"c=table-view,t=club,d=%d" % (900 + i % 100)], known)
-            exchange.connection = client
+            exchange.connection, exchange.came = client, driver.clock()
             driver.on_request(exchange)
 
     found, sent = bytes_each(grow, few), sum(len(e.attempts) for e in driver.exchanges.values())
--- a/thymehinge/emulator/fleet.py
+++ b/thymehinge/emulator/fleet.py
@@ -78,8 +78,17 @@
     def settings_of(self, i: int, zone: str) -> api.Settings:
         s, k = self.shape, self.kind
         return api.Settings(
-            CLASSES, plans(), i, s.gateways, zone, peers=s.peers, peer_messages_per_s=s.intake,
-            cold_share=k.cold_share, cold_time=k.cold_time, fall_multiple=2.0, fall_time=2.0,
+            CLASSES,
+            plans(),
+            i,
+            s.gateways,
+            zone,
+            peers=s.peers,
+            peer_messages_per_s=s.intake,
+            cold_share=k.cold_share,
+            cold_time=k.cold_time,
+            fall_multiple=2.0,
+            fall_time=2.0,
         )
 
     def gateway(self, i: int) -> Gateway:
--- a/thymehinge/emulator/network.py
+++ b/thymehinge/emulator/network.py
@@ -32,8 +32,12 @@
     """Carries datagrams between gateways, each in a region; one takes `intake` a second, 0: any number."""
 
     def __init__(
-        self, clock: Clock, regions: Sequence[int], intake: float,
-        deliver: Callable[[int, int, bytes], None], loss: float = LOSS,
+        self,
+        clock: Clock,
+        regions: Sequence[int],
+        intake: float,
+        deliver: Callable[[int, int, bytes], None],
+        loss: float = LOSS,
     ) -> None:
         if not 0 <= loss <= 1:
             raise ValueError(f"loss {loss!r} is no share from 0 to 1")
--- a/thymehinge/emulator/real.py
+++ b/thymehinge/emulator/real.py
@@ -158,9 +158,7 @@
     return Cost(median(pings), median(entries), median(changes), sent / CHANGES)
 
 
-def times(
-    gateway: GatewayProcess, discovery: HttpDiscovery, start: Start, seconds: float
-) -> Iterator[Slope]:
+def times(gateway: GatewayProcess, discovery: HttpDiscovery, start: Start, seconds: float) -> Iterator[Slope]:
     """The start and the waits for PING, which tell of the machine as well."""
     servers, failed = len(discovery.table.names), gateway.failures()
     how = f"list {start.list_bytes / MB:.3f} MB, RSS {start.rss / MB:.0f} MB"
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -19,7 +19,8 @@
 from thymehinge.net.discovery import HostList
 from thymehinge.net.exchange import Exchange
 from thymehinge.net.peers import Peers
-from thymehinge.net.servers import Attempt, Servers
+from thymehinge.net.server_connection import Attempt
+from thymehinge.net.servers import Servers
 from thymehinge.net.start_times import StartTimes
 
 WAY = 0.004  # s of a client's time for the ways to and from it
