--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -263,3 +263,41 @@
                 assert process.returncode == 0
 
     run(test())
+
+
+def test_a_server_that_drained_before_the_start_is_not_sent_to_once_the_list_has_come(tmp_path):
+    """S1: the known list is old; what the agent has counts as told from the first moment of a process."""
+
+    async def test() -> None:
+        asked: list[str] = []
+
+        async def table_server(name: str) -> dict:
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                wire = Wire(reader, writer)
+                with suppress(EOFError, ConnectionError, TimeoutError):
+                    while True:
+                        words = await wire.read()
+                        asked.append(name)
+                        wire.write(served(words[2]))
+
+            server = await asyncio.start_server(serve, HOST, 0)
+            return ENTRY | {"host": name, "dial": "{}:{}".format(*server.sockets[0].getsockname())}
+
+        old, new = await table_server("old"), await table_server("new")
+        agent, port = Agent([old | {"health": "Terminating"}, new], 0.5), free_port()
+        known = {"seq": 1, "whole": True, "hosts": [old, new]}
+        config = configuration(listen=f"{HOST}:{port}", discovery=await agent.listen(), known=known)
+        begun = time.monotonic()
+        async with serving(tmp_path / "config.json", config):
+            client, number = Wire(*await asyncio.open_connection(HOST, port)), 0
+            while time.monotonic() < begun + 3.0:
+                number += 1
+                ids = command().replace(ID, b"%016x" % number).replace(CUSTOMER, b"%016x" % number)
+                client.write(ids)
+                await client.read()
+                if time.monotonic() < begun + 1.0:  # the settings' grace
+                    asked.clear()
+                await asyncio.sleep(0.01)
+        assert asked and set(asked) == {"new"}
+
+    run(test())
