--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -27,7 +27,7 @@
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
-from thymehinge.net import servers
+from thymehinge.net import server_connection, servers
 from thymehinge.net.resp import VALUE_MOST
 
 
@@ -318,7 +318,7 @@
 
 def test_servers_that_close_early_without_a_word_get_new_connections(monkeypatch):
     """Guards requests against resets to be foreseen: what was idle for as long is not used again."""
-    monkeypatch.setattr(servers, "STALE", PATIENCE)
+    monkeypatch.setattr(server_connection, "STALE", PATIENCE)
 
     async def test() -> None:
         kit, came = await kit_with_server()
