--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -27,7 +27,7 @@
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
-from thymehinge.net import server_connection, servers
+from thymehinge.net import server_connection
 from thymehinge.net.resp import VALUE_MOST
 
 
