--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import json
 import signal
 import socket
 import threading
@@ -11,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from discoverykit import ENTRY
+from discoverykit import ENTRY, Agent
 from faultkit import Faults
 from netkit import CUSTOMER, HOST, Wire, command, configuration, run, served, soon
 from processkit import free_port, is_ready, serving, start
@@ -139,3 +140,23 @@
     await server.read()
     server.write(served(b"value"))
     server.writer.close()
+
+
+def test_a_new_configuration_is_read_as_soon_as_the_system_lets_it(tmp_path):
+    """Guards the 4 s after SIGHUP: the file can't be opened for a moment, for want of descriptors."""
+
+    async def test() -> None:
+        faults, path, agent = Faults(tmp_path, error=errno.ENFILE), tmp_path / "config.json", Agent([ENTRY])
+        config, address = config_at(free_port()), await agent.listen()
+        async with serving(path, config, **faults.environ) as process:
+            path.write_text(json.dumps(config | {"discovery": address}))
+            faults.set(open_share=ALL)
+            begun = time.monotonic()
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(FAILING)
+            faults.set(open_share=0)
+            while not agent.calls:
+                assert time.monotonic() < begun + 4.0
+                await asyncio.sleep(0.01)
+
+    run(test())
