--- a/thymehinge/__main__.py
+++ b/thymehinge/__main__.py
@@ -125,8 +125,8 @@
 def reload(discovery: Discovery) -> None:
     """Follow the discovery that the file names now; requests, pools and the list stay as they are.
 
-    The environment names the addresses of the start, so it does not win here. Where the file can't be opened for
-    a moment it is tried again, for good: discovery would be left behind.
+    The environment names the addresses of the start, so it does not win here. Where the file can't be opened
+    for a moment it is tried again, lest discovery be left behind.
     """
     try:
         config = load({"EDGE_CONFIG": os.environ["EDGE_CONFIG"]})
