--- a/tests/test_arrival_times.py
+++ b/tests/test_arrival_times.py
@@ -212,3 +212,20 @@
         assert int(TIME_TOLD.search(words[3])[1]) <= 1000 - 10
 
     run(test())
+
+
+@pytest.mark.parametrize("data", [hiredis.pack_command(("PING",)), command()[:60]])
+def test_what_is_kept_of_arrivals_does_not_grow(data):
+    """Guards the memory limit: thousands of small pieces, with no request among them or of one."""
+
+    async def test() -> None:
+        kit, _ = await kit_with_server()
+        client = await kit.client()
+        client.write(hiredis.pack_command(("PING",)))
+        await client.read()
+        (connection,) = kit.driver.clients.connections
+        for i in range(2000):
+            connection.data_received(data if len(data) < 60 else data[i : i + 1])
+        assert len(connection.arrivals.marks) <= 2
+
+    run(test())
