Forget when bytes came that have been taken

Cause: Arrivals kept a mark for each piece read until a request was taken, so that a client that only sends PING, or one command in small pieces, let a gateway grow. Change: what was read before is forgotten at the next read, since all commands in it have been taken.

--- a/thymehinge/net/arrivals.py
+++ b/thymehinge/net/arrivals.py
@@ -48,6 +48,11 @@
         self.received += size
         self.mark(self.received, came)
 
+    def forget_read(self) -> None:
+        """Nobody will ask about what has been read so far."""
+        while self.marks and self.marks[0][0] <= self.received:
+            self.marks.popleft()
+
     def pause(self, unread: int, now: float) -> None:
         """Reading is paused, with so many bytes unread that have just come."""
         self.looked_at = now
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -181,6 +181,8 @@
 
     def data_received(self, data: bytes) -> None:
         if self.phase is Phase.OPEN:
+            if not self.full:  # all commands that had come whole are taken: the next one ends further on
+                self.arrivals.forget_read()
             waited = since_last_data(self.sock) or 0.0  # this process may have stood still meanwhile
             self.arrivals.read(len(data), self.clients.clock() - waited)
             self.commands.feed(data)
