--- a/thymehinge/net/server_connection.py
+++ b/thymehinge/net/server_connection.py
@@ -17,6 +17,7 @@
 STALE = 0.02  # s after a request in which a reset shows that the server had closed the connection before
 TOLD_MARGIN = 0.01  # s by which a server is told less than is left: for the way there, should we be held up
 WRITE_MOST = 0.1  # s that a request may take to be written: its server is told a time as of the beginning
+AT_ONCE = 16 * 1024  # bytes that a connection takes at once: more may take some of WRITE_MOST
 PROGRESS = 0.5  # s for which the rest of an answer may keep one waiting
 FIGURE = rb"[a-z_0-9]{1,16}=[0-9]{1,6}(?:\.[0-9]{1,9})?"
 REPORT = re.compile(FIGURE + rb"(?:," + FIGURE + rb")*")
@@ -91,7 +92,10 @@
         """Write the request; a write that fails at once has sent nothing whole."""
         self.attempt, attempt.connection, self.written_at = attempt, self, now
         left = attempt.until - TOLD_MARGIN - now
-        self.transport.write(attempt.exchange.command(max(1, int(left * 1000))))
+        command = attempt.exchange.command(max(1, int(left * 1000)))
+        if len(command) > AT_ONCE:
+            command = attempt.exchange.command(max(1, int((left - WRITE_MOST) * 1000)))
+        self.transport.write(command)
         if self.transport.is_closing():
             self.unwritten = True
         elif self.unwritten:
