--- a/thymehinge/net/start_times.py
+++ b/thymehinge/net/start_times.py
@@ -56,9 +56,11 @@
 
     def resolve_one(self, server: Server, now: float, age_most: float | None) -> Server:
         name, known = server.server, self.listed.get(server.server) or self.departed.pop(server.server, None)
+        if server.started <= 0:  # most servers of a large fleet: nothing is kept of them
+            self.listed.pop(name, None)
+            return server
         if known is None or known.told != server.started:
-            start = now - self.age(server.started, age_most) if server.started > 0 else 0.0
-            known = Start(server.started, start)
+            known = Start(server.started, now - self.age(server.started, age_most))
         self.listed[name] = known
         return replace(server, started=known.local)
 
