--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 import hiredis
 import pytest
@@ -18,18 +19,23 @@
 STALL = 0.15  # s that a gateway may be held up between reading its clock and writing, by the standing test
 
 
+async def first_of(came: Sequence[asyncio.Queue[Wire]]) -> Wire:
+    """The first connection that comes to any of these servers."""
+    waiting = [asyncio.create_task(queue.get()) for queue in came]
+    async with asyncio.timeout(PATIENCE):
+        (first,), others = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+    for task in others:
+        task.cancel()
+    return first.result()
+
+
 async def failed_first_attempt(kit: Kit) -> tuple[Wire, list[asyncio.Queue[Wire]], asyncio.Event]:
     """A client whose keyed request has failed at one of two servers; the next connection is held back."""
     dials, came = zip(*[await kit.server() for _ in range(2)], strict=True)
     kit.driver.on_list(hosts(s1=dials[0], s2=dials[1]))
     client = await kit.client()
     client.write(KEYED)
-    waiting = [asyncio.create_task(queue.get()) for queue in came]
-    async with asyncio.timeout(PATIENCE):
-        (first,), others = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-    for task in others:
-        task.cancel()
-    server = first.result()
+    server = await first_of(came)
     await server.read()
     gate = kit.hold_connects()
     server.write(b"-ERR failed\r\n")
@@ -84,13 +90,9 @@
         client, came, gate = await failed_first_attempt(kit)
         kit.ahead += 1.0
         gate.set()
-        waiting = [asyncio.create_task(queue.get()) for queue in came]
-        async with asyncio.timeout(PATIENCE):
-            (first,), others = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        for task in others:
-            task.cancel()
-        await first.result().read()
-        first.result().write(served(b"value"))
+        server = await first_of(came)
+        await server.read()
+        server.write(served(b"value"))
         assert await client.read() == b"value"
 
     run(test())
