--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -29,6 +29,7 @@
 from typing import TYPE_CHECKING
 
 from thymehinge.net.arrivals import ArrivalTimes, seconds_since_last_data, unread_bytes
+from thymehinge.net.client_memory import REQUEST_OVERHEAD_BYTES
 from thymehinge.net.exchange import READ_COMMAND, WRITE_COMMAND, CommandError, Exchange
 from thymehinge.net.resp import CommandParser, ProtocolError
 
@@ -59,6 +60,7 @@
     """A reply that needs no table server, queued behind those of earlier commands; it has no deadline (0)."""
 
     __slots__ = ("deadline", "reply")
+    held_bytes = 0  # it is too small to be counted
 
     def __init__(self, reply: bytes) -> None:
         self.reply, self.deadline = reply, 0.0
@@ -72,6 +74,7 @@
         "batching",
         "clients",
         "command_started_at",
+        "held_bytes",
         "idle_since",
         "invalid_commands",
         "latest_deadline",
@@ -82,6 +85,7 @@
         "slow_reader",
         "sock",
         "transport",
+        "unparsed_bytes",
     )
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
@@ -93,6 +97,8 @@
         self.pipeline_full = self.batching = self.slow_reader = False
         self.invalid_commands, self.idle_since = 0, clients.clock()  # idle_since: initially the connect time
         self.command_started_at = math.inf  # when the current partial command was first seen
+        self.held_bytes = 0  # for pending requests and replies, and unparsed data
+        self.unparsed_bytes = 0  # the part of them that is unparsed data
         self.latest_deadline = 0.0  # of the requests whose replies have been written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -104,6 +110,7 @@
         self.phase = Phase.CLOSED
         self.clients.remove_connection(self)
         self.cancel_pending()
+        self.hold(-self.held_bytes)
 
     # Closing.
 
@@ -140,6 +147,7 @@
         """Mark all pending requests as done and report that their client is gone."""
         pending, self.pending = self.pending, deque()
         for exchange in pending:
+            self.hold(-exchange.held_bytes)
             if isinstance(exchange, Exchange) and not exchange.done:
                 exchange.done = True
                 self.clients.unregister_request(exchange)
@@ -154,6 +162,24 @@
         if self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in CLIENT_CLOSED_TCP_STATES:
             self.abort()
 
+    # Memory.
+
+    def hold(self, change: int) -> None:
+        """Count bytes that the connection holds from now on, or releases if `change` is negative."""
+        self.held_bytes += change
+        self.clients.memory.held_bytes += change
+
+    def hold_exchange(self, exchange: Exchange, size: int) -> None:
+        """Set the number of bytes that a pending request holds."""
+        self.hold(size - exchange.held_bytes)
+        exchange.held_bytes = size
+
+    def hold_unparsed(self) -> None:
+        """Count the data that the parser holds."""
+        size = self.parser.buffered_bytes()
+        self.hold(size - self.unparsed_bytes)
+        self.unparsed_bytes = size
+
     # Reading commands.
 
     def pause_writing(self) -> None:
@@ -226,6 +252,7 @@
 
     def track_partial_command(self) -> None:
         """Record whether a command has partly arrived, and the time of its latest data."""
+        self.hold_unparsed()
         mid_command = self.clients.mid_command
         mid_command.pop(self, None)
         if self.parser.has_unparsed() and self.phase is Phase.OPEN and not self.pipeline_full:
@@ -245,6 +272,7 @@
             except CommandError as error:
                 return self.reject_command(str(error))
             exchange.connection = self
+            self.hold_exchange(exchange, REQUEST_OVERHEAD_BYTES + sum(map(len, arguments)))
             exchange.received_at = self.arrival_times.time_of(
                 self.arrival_times.received_bytes - self.parser.unparsed_bytes()
             )
@@ -278,6 +306,7 @@
         pending, ready = self.pending, []
         while pending and pending[0].reply is not None:
             answered = pending.popleft()
+            self.hold(-answered.held_bytes)
             ready.append(answered.reply)
             self.latest_deadline = max(self.latest_deadline, answered.deadline)
         return b"".join(ready)
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -10,6 +10,7 @@
 from thymehinge.interface import Settings
 from thymehinge.net.arrivals import seconds_since_last_data, unread_bytes
 from thymehinge.net.client_connection import ANSWER_GRACE, ClientConnection
+from thymehinge.net.client_memory import ClientMemory
 from thymehinge.net.exchange import AcceptedValues, CommandError, Exchange
 
 MIN_SLOW_READER_TIMEOUT = 30.0  # seconds for which a client may always leave replies unread
@@ -34,6 +35,7 @@
         self,
         settings: Settings,
         max_connections: int,
+        memory_bytes: int,
         on_request: Callable[[Exchange], None],
         on_client_gone: Callable[[Exchange], None],
         is_ready: Callable[[], bool],
@@ -46,6 +48,7 @@
             is_ready,
             clock,
         )
+        self.memory = ClientMemory(memory_bytes)
         self.loop = asyncio.get_running_loop()
         self.listener: socket.socket | None = None
         # open_connections counts descriptors, including those of lingering connections.
@@ -191,6 +194,7 @@
     def sweep(self) -> None:
         """Record arrivals on paused connections, and close or abort connections that have timed out."""
         now = self.clock()
+        self.memory.report(self.connections, now)
         for connection in self.read_paused:
             connection.record_unread()
         for group, timeout in (
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -62,6 +62,7 @@
         self.clients = Clients(
             config.settings,
             descriptors - max_server_connections,
+            config.memory_bytes,
             self.on_request,
             self.on_client_gone,
             self.is_ready,
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -92,6 +92,7 @@
         "fields_after_timeout",
         "fields_before_timeout",
         "first_gateway",
+        "held_bytes",
         "is_retry",
         "plan_name",
         "received_at",
@@ -108,6 +109,7 @@
         self.arguments, self.reply, self.done = arguments, None, False
         self.connection: ClientConnection | None = None
         self.attempts: list = []
+        self.held_bytes = 0  # in memory for this request, as counted by its connection
         # received_at: arrival of the command's last byte
         self.request_id, self.received_at, self.deadline = 0, 0.0, 0.0
         if len(arguments) != (4 if arguments[0] == READ_COMMAND else 5):
@@ -168,4 +170,5 @@
         if not self.done:
             self.done, self.reply = True, reply
             self.connection.clients.unregister_request(self)
+            self.connection.hold_exchange(self, self.held_bytes + len(reply))
             self.connection.flush()
--- a/thymehinge/net/resp.py
+++ b/thymehinge/net/resp.py
@@ -140,6 +140,10 @@
         """Return whether data is buffered that has not been returned as a command."""
         return self.offset < len(self.buffer)
 
+    def buffered_bytes(self) -> int:
+        """Return the size of the buffer, including commands that have been returned."""
+        return len(self.buffer)
+
     def unparsed_bytes(self) -> int:
         """Return the number of buffered bytes that have not been returned as a command."""
         return len(self.buffer) - self.offset
