Refuse requests that do not fit into a quarter of the memory limit

Cause: a connection may have 256 commands pending, whatever their size, and each keeps its arguments until every earlier command is answered, also once it is refused itself; nothing bounded the sum over connections (20 x 16 MB). Done: a request that does not fit is answered BUSY at once and not kept. A connection may hold as much as is left over for all others, so that those with few requests always find room. An answered request drops its arguments.

--- /dev/null
+++ b/tests/test_client_memory.py
@@ -0,0 +1,157 @@
+"""Memory that clients can make the gateway hold."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from contextlib import suppress
+from itertools import count
+from pathlib import Path
+
+import hiredis
+import uvloop
+from discoverykit import SERVER_ENTRY, FakeDiscovery
+from netkit import (
+    CUSTOMER_ID,
+    HOST,
+    WAIT_TIMEOUT,
+    RespConnection,
+    harness_with_server,
+    next_item,
+    pack_request,
+    raw_config,
+    run_on_uvloop,
+    success_reply,
+)
+from processkit import free_port, running_gateway
+
+from thymehinge import interface as api
+from thymehinge.net.client_memory import ClientMemory
+
+MEMORY_MB = 96
+LONG_BODY = b"m" * 64_000  # bytes; a value may hold 65,536
+WRITE_FIELDS = b"c=order,t=village,d=3000,k=%d"
+request_numbers = count(1)
+
+
+def pack_long_request(body: bytes = LONG_BODY) -> bytes:
+    """Encode a keyed request with a body, a new id, and a customer of its own."""
+    number = next(request_numbers)
+    name = b"%016x" % number
+    return hiredis.pack_command((b"API.WRITE", name, name, WRITE_FIELDS % number, body))
+
+
+def anonymous_memory_mb(process_id: int) -> float:
+    """Return a process's resident memory in MB without pages of files."""
+    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
+        if line.startswith("RssAnon"):
+            return int(line.split()[1]) / 1024
+    raise RuntimeError("no RssAnon in the process's status")
+
+
+def test_connection_gets_half_of_free_memory_and_leaves_the_rest_to_others():
+    memory = ClientMemory(memory_bytes=4000)
+    assert memory.limit_bytes == 1000
+    assert memory.admits(500) and memory.admits(1000) and not memory.admits(1001)
+    memory.held_bytes = 500
+    assert memory.admits(500) and not memory.admits(501)
+    memory.held_bytes = 990
+    assert memory.admits(10) and not memory.admits(11)
+
+
+def test_pipelined_requests_beyond_memory_limit_are_refused_and_others_accepted():
+    """Guards the memory limit against connections that send hundreds of long commands at once."""
+
+    async def test() -> None:
+        limits = {"cores": 1.0, "memory_mb": 16, "sockets": 256}
+        harness, _ = await harness_with_server(limits=limits)
+        memory = harness.driver.clients.memory
+        flooders = [await harness.connect_client() for _ in range(4)]
+        for flooder in flooders:
+            flooder.write(b"".join(pack_long_request() for _ in range(100)))
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while sum(len(c.pending) for c in harness.driver.clients.connections) < 400:
+                assert memory.held_bytes <= memory.limit_bytes
+                await asyncio.sleep(0)
+        assert memory.refused_requests > 300
+        usual = await harness.connect_client()
+        usual.write(pack_request())
+        await harness.wait_for_event(api.Request, customer_id=int(CUSTOMER_ID, 16))
+        replies = [await flooder.read() for flooder in flooders for _ in range(100)]
+        assert sum(isinstance(r, hiredis.ReplyError) and str(r) == "BUSY" for r in replies) > 300
+
+    run_on_uvloop(test())
+
+
+def test_memory_of_answered_and_cancelled_requests_is_released():
+    """Guards against a count that drifts, which would refuse all requests in the end."""
+
+    async def test() -> None:
+        harness, connections = await harness_with_server()
+        memory = harness.driver.clients.memory
+        client, leaving = await harness.connect_client(), await harness.connect_client()
+        leaving.write(pack_long_request() + pack_long_request()[:-10])
+        client.write(pack_long_request())
+        for value in (b"one", b"two"):
+            server = await next_item(connections)
+            await server.read()
+            assert memory.held_bytes > len(LONG_BODY)
+            server.write(success_reply(value))
+        assert await client.read() in (b"one", b"two") and await leaving.read() in (b"one", b"two")
+        leaving.writer.close()
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while len(harness.driver.clients.connections) > 1:
+                await asyncio.sleep(0)
+        (connection,) = harness.driver.clients.connections
+        assert memory.held_bytes == connection.held_bytes == connection.unparsed_bytes
+
+    run_on_uvloop(test())
+
+
+def send_all(address: tuple[str, int], data: bytes, received: list[int]) -> None:
+    """Send the data at full speed on a connection of its own and read until the gateway closes it."""
+
+    async def send() -> None:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(data)
+        while piece := await reader.read(65536):
+            received.append(len(piece))
+
+    with suppress(OSError), asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(send())
+
+
+def test_process_stays_within_memory_limit_under_pipelined_commands(tmp_path):
+    """Guards against a gateway killed for memory: 10 clients send 250 commands of 64,000 bytes at once."""
+
+    async def test() -> None:
+        discovery = FakeDiscovery([SERVER_ENTRY])
+        host, port = HOST, free_port()
+        config = raw_config(
+            listen=f"{host}:{port}",
+            discovery=await discovery.listen(),
+            limits={"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256},
+        )
+        for name in ("peers", "peer_listen"):
+            config.pop(name, None)
+        data = [b"".join(pack_long_request() for _ in range(250)) for _ in range(10)]
+        async with running_gateway(tmp_path / "config.json", config) as process:
+            usual, received = RespConnection(*await asyncio.open_connection(host, port)), []
+            threads = [
+                threading.Thread(target=send_all, args=((host, port), d, received), daemon=True) for d in data
+            ]
+            for thread in threads:
+                thread.start()
+            peak_mb = 0.0
+            while sum(received) < 2000 * len(b"-BUSY\r\n"):  # most requests are refused
+                peak_mb = max(peak_mb, anonymous_memory_mb(process.pid))
+                assert peak_mb <= MEMORY_MB
+                await asyncio.sleep(0.005)
+            usual.write(pack_request())
+            assert await usual.read() is not None
+            assert process.poll() is None
+        for thread in threads:
+            thread.join()
+        await discovery.runner.cleanup()
+
+    asyncio.run(test())
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -266,20 +266,7 @@
     def handle_command(self, arguments: list[bytes]) -> None:
         """Reply to a command locally, or pass it on as a request."""
         if arguments[0] in (READ_COMMAND, WRITE_COMMAND):
-            try:
-                exchange = Exchange(arguments, self.clients.accepted_values)
-                self.clients.register_request(exchange)
-            except CommandError as error:
-                return self.reject_command(str(error))
-            exchange.connection = self
-            self.hold_exchange(exchange, REQUEST_OVERHEAD_BYTES + sum(map(len, arguments)))
-            exchange.received_at = self.arrival_times.time_of(
-                self.arrival_times.received_bytes - self.parser.unparsed_bytes()
-            )
-            self.pending.append(exchange)
-            self.clients.awaiting_first_request.pop(self, None)
-            self.clients.idle.pop(self, None)
-            return self.clients.on_request(exchange)
+            return self.handle_request(arguments)
         name = arguments[0].upper()
         if name == b"PING":
             return self.queue_reply(PONG_REPLY if self.clients.is_ready() else b"-ERR starting\r\n")
@@ -287,6 +274,27 @@
             return self.queue_reply(OK_REPLY)
         return self.reject_command("unknown command")
 
+    def handle_request(self, arguments: list[bytes]) -> None:
+        """Pass on a request; it is refused if there is no memory for it, and rejected if it is invalid."""
+        try:
+            exchange = Exchange(arguments, self.clients.accepted_values)
+            self.clients.check_unregistered(exchange)
+        except CommandError as error:
+            return self.reject_command(str(error))
+        self.clients.awaiting_first_request.pop(self, None)
+        request_bytes = REQUEST_OVERHEAD_BYTES + sum(map(len, arguments))
+        if not self.clients.memory.admits(self.held_bytes + request_bytes):
+            return self.queue_reply(BUSY_REPLY)
+        self.clients.register_request(exchange)
+        exchange.connection = self
+        self.hold_exchange(exchange, request_bytes)
+        exchange.received_at = self.arrival_times.time_of(
+            self.arrival_times.received_bytes - self.parser.unparsed_bytes()
+        )
+        self.pending.append(exchange)
+        self.clients.idle.pop(self, None)
+        return self.clients.on_request(exchange)
+
     def reject_command(self, reason: str) -> None:
         """Reply with an error; close the connection after MAX_INVALID_COMMANDS of them."""
         self.queue_reply(b"-ERR %b\r\n" % reason.encode())
--- a/thymehinge/net/client_memory.py
+++ b/thymehinge/net/client_memory.py
@@ -1,4 +1,4 @@
-"""Accounting of the memory that a gateway holds for its clients' data, over all connections."""
+"""Limits of the memory that a gateway holds for its clients' data, over all connections."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from thymehinge.net.client_connection import ClientConnection
 
-REPORT_FRACTION = 1 / 8  # of the memory limit; more than this held for clients is logged
+TOTAL_FRACTION = 1 / 4  # of the memory limit of the process, for the data of all clients
 REPORT_INTERVAL = 5.0  # seconds between two such log lines
 REQUEST_OVERHEAD_BYTES = 4 * 1024  # objects and timers of a pending request, beside its command
 
@@ -44,15 +44,37 @@
 
 
 class ClientMemory:
-    """Counts the bytes held for all clients; `memory_bytes` is the memory limit of the process."""
+    """Counts the bytes held for all clients and limits them by `memory_bytes`, the limit of the process.
+
+    A request that does not fit is to be refused at once. A connection may hold as much as is left over for
+    all others (a dynamic threshold, as in shared packet buffers), so that clients with many requests at once
+    leave memory for those with few.
+    """
 
     def __init__(self, memory_bytes: int) -> None:
         self.held_bytes = 0
-        self.report_threshold = int(memory_bytes * REPORT_FRACTION)
+        self.limit_bytes = int(memory_bytes * TOTAL_FRACTION)
+        self.refused_requests = 0  # since the last report
         self.next_report_at = 0.0
 
+    def admits(self, connection_bytes: int) -> bool:
+        """Return whether a request fits; one that does not counts as refused.
+
+        `connection_bytes` is what its connection would hold with it.
+        """
+        if connection_bytes <= self.limit_bytes - self.held_bytes:
+            return True
+        self.refused_requests += 1
+        return False
+
     def report(self, connections: Iterable[ClientConnection], now: float) -> None:
-        """Log what the connections hold if it exceeds the threshold, at most once in REPORT_INTERVAL."""
-        if self.held_bytes > self.report_threshold and now >= self.next_report_at:
+        """Log refused requests and what the connections hold, at most once in REPORT_INTERVAL."""
+        if self.refused_requests and now >= self.next_report_at:
             self.next_report_at = now + REPORT_INTERVAL
-            log.warning("%d bytes held for clients: %s", self.held_bytes, measure_held_data(connections))
+            log.warning(
+                "%d requests refused for lack of memory, %d bytes held for clients: %s",
+                self.refused_requests,
+                self.held_bytes,
+                measure_held_data(connections),
+            )
+            self.refused_requests = 0
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -67,16 +67,17 @@
 
     # Requests.
 
-    def register_request(self, exchange: Exchange) -> None:
-        """Register the id that the client chose; CommandError if a pending request has the same one.
+    def check_unregistered(self, exchange: Exchange) -> None:
+        """Raise CommandError if a pending request has the same id.
 
         Table servers deduplicate by id: one of two requests would be dropped or get the other's answer.
         """
-        wire_id = exchange.arguments[2].lower()
-        if wire_id in self.pending_ids:
+        if exchange.wire_id in self.pending_ids:
             raise CommandError("a request with this id is open")
-        exchange.wire_id = wire_id
-        self.pending_ids.add(wire_id)
+
+    def register_request(self, exchange: Exchange) -> None:
+        """Register the id that the client chose until `unregister_request`."""
+        self.pending_ids.add(exchange.wire_id)
 
     def unregister_request(self, exchange: Exchange) -> None:
         self.pending_ids.discard(exchange.wire_id)
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -8,6 +8,7 @@
 import hiredis
 
 from thymehinge.interface import Idempotency, Settings
+from thymehinge.net.client_memory import REQUEST_OVERHEAD_BYTES
 
 if TYPE_CHECKING:
     from thymehinge.net.client_connection import ClientConnection
@@ -101,7 +102,7 @@
         "spread",
         "timeout",
         "units",
-        "wire_id",  # the id that the client chose, in lower case; set when the request is registered
+        "wire_id",  # the id that the client chose, in lower case
     )
 
     def __init__(self, arguments: list[bytes], accepted: AcceptedValues) -> None:
@@ -116,7 +117,7 @@
             raise CommandError(f"wrong number of arguments ({len(arguments)})")
         if not (HEX_ID.fullmatch(arguments[1]) and HEX_ID.fullmatch(arguments[2])):
             raise CommandError("customer and id are 16 hexadecimal digits")
-        self.customer_id = int(arguments[1], 16)
+        self.customer_id, self.wire_id = int(arguments[1], 16), arguments[2].lower()
         if self.customer_id >= CUSTOMER_ID_END:
             raise CommandError("no such customer")
         fields = parse_fields(arguments[3])
@@ -170,5 +171,6 @@
         if not self.done:
             self.done, self.reply = True, reply
             self.connection.clients.unregister_request(self)
-            self.connection.hold_exchange(self, self.held_bytes + len(reply))
+            self.arguments = ()  # no attempt starts after the reply, which may wait for earlier ones
+            self.connection.hold_exchange(self, REQUEST_OVERHEAD_BYTES + len(reply))
             self.connection.flush()
