Release parsed data of idle connections, and read at most 32 KB at once

Cause: the parser kept the buffer of its last read until the next one, up to 256 KB for each connection that had ever sent much (4.4 MB for 20 connections, for as long as they stayed), and a connection whose reading pauses at 256 pending commands kept up to 256 KB unparsed. Done: the parser drops a buffer that is wholly parsed; connections read into one shared buffer of 32 KB, which bounds what a paused one leaves unparsed; a connection that stops reading drops its input.

--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -26,7 +26,9 @@
 from processkit import free_port, running_gateway
 
 from thymehinge import interface as api
+from thymehinge.net.client_connection import MAX_PIPELINED_COMMANDS, READ_BUFFER_BYTES
 from thymehinge.net.client_memory import ClientMemory
+from thymehinge.net.resp import MAX_PARTIAL_COMMAND_BYTES
 
 MEMORY_MB = 96
 LONG_BODY = b"m" * 64_000  # bytes; a value may hold 65,536
@@ -155,3 +157,41 @@
         await discovery.runner.cleanup()
 
     asyncio.run(test())
+
+
+def test_parsed_data_is_released():
+    """Guards the memory limit against idle connections that keep the data of their last commands."""
+
+    async def test() -> None:
+        harness, connections = await harness_with_server()
+        client = await harness.connect_client()
+        client.write(pack_long_request())
+        server = await next_item(connections)
+        await server.read()
+        (connection,) = harness.driver.clients.connections
+        assert connection.parser.buffered_bytes() == 0
+        server.write(success_reply(b"value"))
+        assert await client.read() == b"value"
+        assert harness.driver.clients.memory.held_bytes == 0
+
+    run_on_uvloop(test())
+
+
+def test_unparsed_data_of_paused_connection_is_bounded():
+    """Guards the memory limit against connections that are paused with a large part of the stream read."""
+
+    async def test() -> None:
+        harness, _ = await harness_with_server()
+        client = await harness.connect_client()
+        client.write(hiredis.pack_command(("PING",)) * 40_000 + pack_request())  # queued behind each other
+        client.write(b"".join(pack_long_request(b"m" * 100) for _ in range(3_000)))
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while not harness.driver.clients.read_paused:
+                await asyncio.sleep(0)
+        (connection,) = harness.driver.clients.connections
+        assert len(connection.pending) == MAX_PIPELINED_COMMANDS
+        assert connection.parser.unparsed_bytes() <= READ_BUFFER_BYTES
+        # at most one command that had begun before the latest read is held beside it
+        assert connection.unparsed_bytes <= READ_BUFFER_BYTES + MAX_PARTIAL_COMMAND_BYTES
+
+    run_on_uvloop(test())
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -37,6 +37,7 @@
     from thymehinge.net.clients import Clients
 
 MAX_PIPELINED_COMMANDS = 256  # pending commands of one connection at which reading pauses
+READ_BUFFER_BYTES = 32 * 1024  # read at once; bounds the data that is left unparsed when reading pauses
 MAX_INVALID_COMMANDS = 8  # on a connection before it is closed
 MIN_LINGER_TIMEOUT = 1.0  # seconds; a client always has this long after the close to read its last replies
 ANSWER_GRACE = 0.5  # seconds after its deadline for which a reply still counts as on time, by protocol
@@ -66,7 +67,7 @@
         self.reply, self.deadline = reply, 0.0
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Protocol of one client connection."""
 
     __slots__ = (
@@ -120,6 +121,8 @@
             self.phase = Phase.DRAINING
             self.transport.pause_reading()
             self.clients.clear_timeouts(self)
+            self.parser.discard()
+            self.hold_unparsed()
             if final_reply:
                 self.pending.append(LocalReply(final_reply))
         self.flush()
@@ -213,6 +216,13 @@
         """Record arrival times for the data in the kernel's receive buffer."""
         self.arrival_times.record_unread(unread_bytes(self.sock), self.clients.clock())
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer to read into, which connections share: each read is taken before the next one."""
+        return self.clients.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(memoryview(self.clients.read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         if self.phase is Phase.OPEN:
             if not self.pipeline_full:  # all complete commands are parsed: the next one ends in the new data
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -9,7 +9,7 @@
 
 from thymehinge.interface import Settings
 from thymehinge.net.arrivals import seconds_since_last_data, unread_bytes
-from thymehinge.net.client_connection import ANSWER_GRACE, ClientConnection
+from thymehinge.net.client_connection import ANSWER_GRACE, READ_BUFFER_BYTES, ClientConnection
 from thymehinge.net.client_memory import ClientMemory
 from thymehinge.net.exchange import AcceptedValues, CommandError, Exchange
 
@@ -49,6 +49,7 @@
             clock,
         )
         self.memory = ClientMemory(memory_bytes)
+        self.read_buffer = bytearray(READ_BUFFER_BYTES)
         self.loop = asyncio.get_running_loop()
         self.listener: socket.socket | None = None
         # open_connections counts descriptors, including those of lingering connections.
--- a/thymehinge/net/resp.py
+++ b/thymehinge/net/resp.py
@@ -114,6 +114,10 @@
         self.buffer = self.buffer[self.offset :] + data if self.offset < len(self.buffer) else data
         self.offset = 0
 
+    def discard(self) -> None:
+        """Discard all buffered data."""
+        self.buffer, self.offset = b"", 0
+
     def next_command(self) -> list[bytes] | None:
         """Return the name and arguments of the next command, or None if it is incomplete.
 
@@ -134,6 +138,8 @@
                 raise ProtocolError("a command is too long") from None
             return None
         self.offset = offset
+        if offset == len(data):
+            self.discard()
         return arguments
 
     def has_unparsed(self) -> bool:
@@ -141,7 +147,7 @@
         return self.offset < len(self.buffer)
 
     def buffered_bytes(self) -> int:
-        """Return the size of the buffer, including commands that have been returned."""
+        """Return the size of the buffer, which may include commands that have been returned."""
         return len(self.buffer)
 
     def unparsed_bytes(self) -> int:
