End connections whose partial command does not fit into the memory for clients

Cause: half commands were bounded in bytes for each connection (128 KB) and not in sum: 340 clients, a third of 1,024 descriptors, could hold 44 MB, and more than the limit of a small gateway. Done: what is not parsed counts towards the memory for clients; a part that is larger than the rest of that memory is answered with an error and its connection closed, as one that times out. Short ones still fit.

--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -195,3 +195,33 @@
         assert connection.unparsed_bytes <= READ_BUFFER_BYTES + MAX_PARTIAL_COMMAND_BYTES
 
     run_on_uvloop(test())
+
+
+def test_partial_commands_beyond_memory_limit_are_rejected():
+    """Guards the memory limit against half commands on many connections."""
+
+    async def test() -> None:
+        limits = {"cores": 1.0, "memory_mb": 16, "sockets": 256}
+        harness, _ = await harness_with_server(limits=limits)
+        memory = harness.driver.clients.memory
+        clients = [await harness.connect_client() for _ in range(80)]
+        for client in clients:
+            client.write(pack_long_request()[:-10])
+        readers = [asyncio.create_task(client.read()) for client in clients]
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            done, _ = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
+            while harness.driver.clients.mid_command and memory.held_bytes > memory.limit_bytes:
+                await asyncio.sleep(0)
+        assert all("not enough memory" in str(task.result()) for task in done)
+        assert memory.held_bytes <= memory.limit_bytes
+        small = await harness.connect_client()
+        small.write(pack_request()[:-10])
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while not any(c.unparsed_bytes < 1000 for c in harness.driver.clients.mid_command):
+                await asyncio.sleep(0)
+        small.write(pack_request()[-10:])
+        await harness.wait_for_event(api.Request, customer_id=int(CUSTOMER_ID, 16))
+        for reader in readers:
+            reader.cancel()
+
+    run_on_uvloop(test())
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -9,6 +9,7 @@
 | `close_with_protocol_error`: data that is not RESP2     | earlier commands are answered, then the error   |
 | `reject_command`: MAX_INVALID_COMMANDS invalid commands | the same; later commands are ignored            |
 | `Clients.sweep`: a partial command times out            | the same; the partial command is discarded      |
+| `track_partial_command`: no memory for a partial one    | the same; the partial command is discarded      |
 | `Clients.sweep`: no first request, or idle for too long | none pending; unread data keeps it open         |
 | `Clients.evict_connection`: descriptors are needed      | none pending; partial commands are evicted last |
 | `Clients.drain`: the process ends                       | pending, partial or unread ones keep it open    |
@@ -266,9 +267,12 @@
         mid_command = self.clients.mid_command
         mid_command.pop(self, None)
         if self.parser.has_unparsed() and self.phase is Phase.OPEN and not self.pipeline_full:
+            if not self.clients.memory.admits(self.unparsed_bytes):
+                return self.close_gracefully(b"-ERR not enough memory for this command\r\n")
             mid_command[self] = now = self.clients.clock()
             self.command_started_at = min(self.command_started_at, now)
             self.clients.idle.pop(self, None)
+        return None
 
     def close_with_protocol_error(self, reason: str) -> None:
         self.close_gracefully(b"-ERR Protocol error: %b\r\n" % reason.encode())
--- a/thymehinge/net/client_memory.py
+++ b/thymehinge/net/client_memory.py
@@ -46,9 +46,9 @@
 class ClientMemory:
     """Counts the bytes held for all clients and limits them by `memory_bytes`, the limit of the process.
 
-    A request that does not fit is to be refused at once. A connection may hold as much as is left over for
-    all others (a dynamic threshold, as in shared packet buffers), so that clients with many requests at once
-    leave memory for those with few.
+    A request that does not fit is to be refused at once, and a part of one ends its connection. A connection
+    may hold as much as is left over for all others (a dynamic threshold, as in shared packet buffers), so
+    that clients with many requests at once leave memory for those with few.
     """
 
     def __init__(self, memory_bytes: int) -> None:
@@ -57,12 +57,12 @@
         self.refused_requests = 0  # since the last report
         self.next_report_at = 0.0
 
-    def admits(self, connection_bytes: int) -> bool:
-        """Return whether a request fits; one that does not counts as refused.
+    def admits(self, size: int) -> bool:
+        """Return whether this many bytes are not above the free memory; if they are, count a refusal.
 
-        `connection_bytes` is what its connection would hold with it.
+        For a request, `size` is what its connection would hold with it; for a part of one, the part's size.
         """
-        if connection_bytes <= self.limit_bytes - self.held_bytes:
+        if size <= self.limit_bytes - self.held_bytes:
             return True
         self.refused_requests += 1
         return False
