Finish the oldest call to discovery when its address changes

The schedule's time-outs were the rival guess: it started its second call at 0.7 s as planned and cancelled nothing. Done: the oldest call to a previous address goes on for up to 2 s, three at a time, until the new address gives a list. Its list counts if it is newer; for 1 s after it an older one of the new address is fetched anew and not taken.

--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -15,6 +15,9 @@
 from thymehinge.net.call_schedule import CALL_TIMEOUT, MAX_CALLS, CallSchedule
 from thymehinge.net.http import HttpClient
 
+MAX_PREVIOUS_CALLS = 3  # to addresses before the current one, without an answer at the same time
+PREVIOUS_ADDRESS_TIMEOUT = 2.0  # seconds; by protocol a previous address closes its connections after 1.5
+STALE_LIST_PERIOD = 1.0  # seconds after a previous address's list in which no older one is taken
 BODY_MEMORY_FRACTION = 1 / 12  # of the memory limit, for a response's body: parsing it takes 8 times its size
 
 log = logging.getLogger(__name__)
@@ -87,9 +90,17 @@
     return server, address
 
 
+class StaleListError(Exception):
+    """A new discovery address gave an older list than the address before it."""
+
+
 class Discovery:
     """Passes every snapshot and delta from the configured discovery address to `on_list`.
 
+    A change of the address does not cancel the oldest call to the previous one: if discovery is slow and the
+    address changes often, no call would ever complete. Until the new address has given a list, newer lists of
+    previous addresses are passed on.
+
     `memory_bytes` is the memory limit of this process; it bounds the size of a response.
     """
 
@@ -99,21 +110,68 @@
             int(memory_bytes * BODY_MEMORY_FRACTION),
             "",
         )
-        self.task: asyncio.Task[None] | None = None
+        self.watcher: HostWatcher | None = None  # of the current address
+        self.previous_calls: set[asyncio.Task[None]] = set()  # to previous addresses
+        self.version: int | None = None  # of the latest list that was passed on
+        self.previous_list_at = -math.inf  # monotonic time of the latest list of a previous address
 
     def set_address(self, address: str) -> None:
-        """Switch to this address, starting with a snapshot; calls to the previous one are cancelled."""
+        """Switch to this address, starting with a snapshot."""
         if address == self.address:
             return
-        self.stop()
         self.address = address
-        self.task = asyncio.get_running_loop().create_task(
-            watch_hosts(address, self.on_list, self.max_body_bytes)
-        )
+        if self.watcher is not None:
+            self.keep_oldest_call(self.watcher)
+            self.watcher.stop()
+        self.watcher = HostWatcher(address, self.on_current_list, self.max_body_bytes)
+        self.watcher.start()
+
+    def keep_oldest_call(self, watcher: HostWatcher) -> None:
+        """Have the watcher's oldest call finished without it, unless MAX_PREVIOUS_CALLS are."""
+        if len(self.previous_calls) < MAX_PREVIOUS_CALLS and watcher.calls:
+            task = asyncio.get_running_loop().create_task(self.finish_call(watcher.calls.pop(0)))
+            self.previous_calls.add(task)
+            task.add_done_callback(self.previous_calls.discard)
+
+    async def finish_call(self, call: Call) -> None:
+        """Pass on the list of a call to a previous address if it comes within PREVIOUS_ADDRESS_TIMEOUT."""
+        try:
+            async with asyncio.timeout(PREVIOUS_ADDRESS_TIMEOUT):
+                self.on_previous_list(parse_host_list(await call.task))
+        except Exception as error:  # any error: the current address is called anyway
+            log.info("discovery: previous address: %s: %s", type(error).__name__, str(error)[:200])
+        finally:
+            call.cancel()
+
+    def on_previous_list(self, hosts: HostList) -> None:
+        """Pass on a list of a previous address if it is newer than the latest one."""
+        if self.version is not None and hosts.version <= self.version:
+            return
+        log.info("discovery: list %d comes from a previous address", hosts.version)
+        self.version, self.previous_list_at = hosts.version, monotonic()
+        self.on_list(hosts)
+
+    def on_current_list(self, hosts: HostList) -> None:
+        """Pass on a list of the current address.
+
+        Raises StaleListError if a previous address has just given a newer list. Later, any version is passed
+        on, since the addresses may number their lists differently.
+        """
+        is_older = self.version is not None and hosts.version < self.version
+        if is_older and monotonic() < self.previous_list_at + STALE_LIST_PERIOD:
+            raise StaleListError(f"version {hosts.version} after {self.version}")
+        self.cancel_previous_calls()
+        self.version = hosts.version
+        self.on_list(hosts)
+
+    def cancel_previous_calls(self) -> None:
+        for task in self.previous_calls:
+            task.cancel()
 
     def stop(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
+        self.cancel_previous_calls()
+        if self.watcher is not None:
+            self.watcher.stop()
 
 
 async def watch_hosts(address: str, on_list: Callable[[HostList], None], max_body_bytes: int) -> None:
@@ -155,6 +213,16 @@
         self.version: int | None = None  # of the latest list; None if a snapshot is needed
         self.calls: list[Call] = []  # without a response, oldest first
         self.idle_client: HttpClient | None = None  # its connection carried the latest valid response
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Run in the background until `stop`."""
+        self.task = asyncio.get_running_loop().create_task(self.run())
+        self.task.add_done_callback(lambda _: self.close())
+
+    def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
 
     async def run(self) -> None:
         """Make calls until cancelled."""
