Put back reasons and figures that the rewording dropped from comments

Done: the reasons of the decision module, then of the sockets, restored in today's names from the old comments; none is new. No code changed: the syntax trees without doc comments are equal before and after, file by file. Measured: nothing to measure but that comparison.

--- a/thymehinge/decisions.py
+++ b/thymehinge/decisions.py
@@ -22,9 +22,10 @@
 from thymehinge.interface import DedupScope, Idempotency, LifecycleState, Result
 
 # Quotas and messages between gateways.
+# Long enough to smooth single requests, short enough to follow a shift of traffic between gateways.
 DEMAND_DECAY_TIME = 3.0  # seconds; time constant of a customer's demand and of its grant ratio
-IDLE_DEMAND = 4e-4  # units/s; customers below it are removed once their bucket is full
-PERIODIC_INTERVAL = 0.1  # seconds between runs of run_periodic
+IDLE_DEMAND = 4e-4  # units/s, after some 20 quiet seconds; then customers with a full bucket are removed
+PERIODIC_INTERVAL = 0.1  # seconds between runs of run_periodic; short against a latency target
 OWNER_CANDIDATES = 3  # gateways that may own a customer's bucket; all gateways derive the same order
 PEER_INTAKE_FRACTION = 0.75  # of the messages that a peer accepts, available to quota messages
 MAX_BATCH_DELAY = 0.25  # seconds that an entry waits for others to share its message
@@ -48,6 +49,7 @@
 SERVICE_MARGIN = 1.5  # times the mean latency reserved for service
 TARGET_FRACTION = 0.8  # of the latency target, for waiting and service together
 RETRY_WAIT_FACTOR = 0.25  # applied to the wait budget of a client's retry
+# Refused later, a client would learn too late that it has to try again.
 DECISION_FRACTION = 0.45  # of the client's timeout by which a request is sent or refused
 RATE_MULTIPLIER_STEP = 0.25  # added each second while latency targets are met
 RATE_MULTIPLIER_CUT = 0.5  # factor applied each second while a latency target is missed
@@ -55,9 +57,11 @@
 MAX_LATE_RATIO = 0.1  # of a class's answers in a second, above which its latency target is missed
 
 # Choice of server.
-MAX_WAIT_FRACTION = 0.5  # of the latency target that a server's expected latency may take
-SAMPLE_SIZE = 16  # servers compared for a request
-LARGE_FLEET_SIZE = 256  # servers above which a gateway prefers some, to limit its connections
+MAX_WAIT_FRACTION = (
+    0.5  # of the latency target that a server's expected latency may take, before work waits here
+)
+SAMPLE_SIZE = 16  # servers compared for a request, drawn anew: cost and herding stay those of a small fleet
+LARGE_FLEET_SIZE = 256  # servers above which a gateway prefers some: else each request opens a connection
 MAX_PREFERRED = 128  # servers preferred in a large fleet
 OTHER_SAMPLE_SIZE = 2  # further servers of a large fleet compared with the preferred ones
 STALL_THRESHOLD = 0.1  # seconds that a timer may run late before the process counts as stalled
@@ -67,10 +71,11 @@
 SLOW_MIN_FRACTION = 0.45  # of the latency target
 SLOW_MAX_FRACTION = 0.75  # of the latency target
 SLOW_LATENCY_FACTOR = 4.0  # times the latency that is typical for the work
-SLOW_RATIO_LIMIT = 0.25  # of answers slow, above which the fleet is congested
+SLOW_RATIO_LIMIT = 0.25  # of answers slow, above which the fleet is congested; fewer may be chance
 SLOW_RATIO_WEIGHT = 0.1  # weight of a new sample in the slow ratio
 SLOW_SERVER_FACTOR = 2.0  # times the typical latency above which a slow server is no sign of congestion
 LIMIT_DECREASE = 0.9  # factor on the concurrency limit for each slow answer
+# Enforced, a lower limit would serialise the requests of one gateway and still not bound a large fleet.
 ADMISSION_LIMIT = 4.0  # concurrency limit below which requests are admitted at random instead
 MIN_CONCURRENCY_LIMIT = 0.2
 ADMISSION_DECREASE = 0.6  # replaces LIMIT_DECREASE below ADMISSION_LIMIT, where answers are few
@@ -81,7 +86,7 @@
 # Load, health and cold start of servers.
 REPORT_DECAY_TIME = 1.0  # seconds; time constant with which a load report fades
 REPORT_WEIGHT = 0.5  # weight of a reported request against one of this gateway
-MAX_REPORTED_QUEUE = 100.0  # requests; larger reports are capped
+MAX_REPORTED_QUEUE = 100.0  # requests; larger reports are capped, as no figure that a server means
 LOST_ATTEMPT_LATENCIES = 3.0  # typical latencies; an attempt sent that long before an answered one is lost
 FAILURE_BASELINE_FACTOR = 1.5  # times the lower quartile of failure rates; rates up to that are ignored
 SLOW_RECOVERY_TIME = 2.0  # seconds; time constant with which the high latency of an idle server fades
@@ -102,7 +107,7 @@
 LOG_OVERLOADED = "latency target missed; reducing use beyond quotas"
 LOG_RECOVERED = "latency targets met; raising use beyond quotas gradually"
 DEDUP_WINDOW_FRACTION = 0.9  # of a dedup window that is used; the rest covers the network
-MAX_PROCESS_STALL = 0.15  # seconds between reading the clock and writing
+MAX_PROCESS_STALL = 0.15  # seconds between reading the clock and writing, by the operators' terms
 
 
 class SlotPool:
@@ -399,7 +404,10 @@
                 del self.preferred[next(iter(self.preferred))]
 
     def start_deadline(self, server: TrackedServer, now: float) -> float:
-        """Return the latest start of an attempt: for a cold server, within one window of its budget."""
+        """Return the latest start of an attempt: for a cold server, within one window of its budget.
+
+        What is decided in two windows may still start in the same one.
+        """
         return now + self.settings.overload_window if self.capacity(server, now) < 1 else math.inf
 
     def choose_server(
@@ -409,7 +417,8 @@
 
         The cost is the expected latency plus a penalty for failures. A cold server whose cold budget is
         below one request is compared as if it were warm, and against the request's own latency target:
-        otherwise idle warm servers would always win in a large fleet.
+        otherwise idle warm servers would always win in a large fleet, where a gateway's own requests show
+        little of a server's load. The turns of `within_cold_budget` keep the cold server's share down there.
         """
         max_wait = max(
             MAX_WAIT_FRACTION * self.min_latency_target, SERVICE_MARGIN * self.typical_latency * work
--- a/thymehinge/net/call_schedule.py
+++ b/thymehinge/net/call_schedule.py
@@ -12,9 +12,11 @@
 PROPAGATION_TIME = 6.0  # seconds after which gateways are expected to know of a change
 TOLERATED_FAILURES = 2  # successive failures after a watch without an answer; a late third does not fit
 LAG_MARGIN = 0.4  # seconds of PROPAGATION_TIME reserved for parsing four answers and for late timers
-WATCH_TIMEOUT = 2.0  # seconds; longest time for which discovery is asked to hold a watch
+WATCH_TIMEOUT = (
+    2.0  # seconds that discovery is asked to hold a watch at most: a change may come so much later
+)
 MIN_WATCH_TIMEOUT = 0.2  # seconds
-ANSWER_TIMEOUT = 0.7  # seconds beyond the watch timeout after which a call is overdue
+ANSWER_TIMEOUT = 0.7  # seconds beyond the watch timeout, from the connect on, after which a call is overdue
 MAX_ANSWER_TIMEOUT = 2.4  # seconds; the limit where discovery is slow, which leaves time for a second call
 SLOW_ANSWER_FACTOR = 1.5  # ratio of the answer timeout to the answer time where discovery is slow
 ANSWER_TIME_DECAY = 0.7  # fraction of the answer time that is kept if the next answer is faster
--- a/thymehinge/net/config.py
+++ b/thymehinge/net/config.py
@@ -13,7 +13,7 @@
 from thymehinge.settings import get_setting, read_settings
 
 Address = tuple[str, int]
-DEFAULT_MEMORY_MB = 192.0  # MiB, if the configuration has no limit
+DEFAULT_MEMORY_MB = 192.0  # MiB, if the configuration has no limit: the most on the operators' days
 
 TRANSIENT_ERRORS = frozenset(  # system errors that may go away by themselves
     (
--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -22,7 +22,7 @@
 
 log = logging.getLogger(__name__)
 
-UNREACHABLE_ERRORS = OSError  # no response, or none in time (TimeoutError is an OSError)
+UNREACHABLE_ERRORS = OSError  # no response, or none in time (TimeoutError): the call has added no load
 LIFECYCLE_STATES = {
     "Ready": api.LifecycleState.RUNNING,
     "Terminating": api.LifecycleState.DRAINING,
--- a/thymehinge/net/resp.py
+++ b/thymehinge/net/resp.py
@@ -10,9 +10,9 @@
 import re
 
 MAX_VALUE_BYTES = 64 * 1024  # of a value in a command, by protocol
-MAX_ANSWER_VALUE_BYTES = 2 * 1024 * 1024  # of a value in an answer
+MAX_ANSWER_VALUE_BYTES = 2 * 1024 * 1024  # of a value in an answer: servers send several hundred thousand
 MAX_PARTIAL_COMMAND_BYTES = 2 * MAX_VALUE_BYTES  # of a command whose end has not arrived
-MAX_ARGUMENTS = 64  # of a command, including its name
+MAX_ARGUMENTS = 64  # of a command, including its name; enough to tell a client what is wrong with it
 MAX_LINE_BYTES = 1024  # of an error line
 MAX_ELEMENTS = 16  # of an array nested in an answer
 HEADER = re.compile(rb"[*$](-1|0|[1-9][0-9]{0,6})\r\n")
--- a/thymehinge/net/start_times.py
+++ b/thymehinge/net/start_times.py
@@ -15,7 +15,9 @@
 from thymehinge.interface import LifecycleState, ListKind, Server
 
 MAX_LISTING_DELAY = 5.0  # seconds from a server's start until discovery lists it
-LISTING_DELAY_FRACTION = 0.25  # limit of that delay as a fraction of the slow start
+LISTING_DELAY_FRACTION = (
+    0.25  # limit of that delay as a fraction of the slow start; more overrates cold servers
+)
 MAX_DELISTED = 1024  # delisted servers whose start times are kept
 
 
