List one known failure a line in KNOWN-RED.txt, and check each entry at collection

The test run refuses an entry that lacks a field, names no test, case or script that exists, or a whole file of tests.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,36 +2,34 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import pytest
-
-KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
-MAX_ENTRIES = 3
+from known_red import KnownRed, KnownRedError, check_collected, read_known_red
 
 
-def read_known_red() -> list[str]:
-    """Return the lines of KNOWN-RED.txt, each `test or test file | cause | issue`.
+def load_known_red() -> list[KnownRed]:
+    """Return the entries of KNOWN-RED.txt. Raises pytest.UsageError if one is malformed."""
+    try:
+        return read_known_red()
+    except KnownRedError as error:
+        raise pytest.UsageError(str(error)) from None
 
-    Raises pytest.UsageError if there are too many lines or one has another form.
-    """
-    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
-    lines = [line for line in lines if line.strip()]
-    if len(lines) > MAX_ENTRIES or any(line.count("|") != 2 for line in lines):
-        raise pytest.UsageError(
-            f"KNOWN-RED.txt: expected at most {MAX_ENTRIES} lines of the form `test | cause | issue`"
-        )
-    return lines
 
-
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    for line in read_known_red():
-        test, cause, issue = (part.strip() for part in line.split("|"))
+def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
+    for entry in load_known_red():
+        if not any("::" in argument for argument in config.args):
+            try:
+                check_collected(entry, [item.nodeid for item in items])
+            except KnownRedError as error:
+                raise pytest.UsageError(str(error)) from None
         for item in items:
-            if item.nodeid == test or item.nodeid.startswith((f"{test}[", f"{test}::")):
-                item.add_marker(pytest.mark.xfail(reason=f"{cause} ({issue})", strict=False))
+            if item.nodeid == entry.test:
+                item.add_marker(
+                    pytest.mark.xfail(reason=f"{entry.observation} ({entry.issue})", strict=False)
+                )
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    for line in read_known_red():
-        terminalreporter.write_line(f"known red: {line}")
+    for entry in load_known_red():
+        terminalreporter.write_line(
+            f"known red: {entry.test} | {entry.command} | {entry.observation} | {entry.issue}"
+        )
