Record a gateway's wait for a processor in the soak, and print it with each violation

Done: the kernel's count of the time that each thread was ready and did not run (schedstat) is sampled every 10 ms; a violation is printed with the wait from the request's sending on, the stalls that the fault library measured, and the judge's own lag. No bound changes.

--- a/tests/crossing_clients.py
+++ b/tests/crossing_clients.py
@@ -29,6 +29,7 @@
 from faultkit import FaultInjector
 from netkit import HOST, raw_config, raw_settings
 from processkit import ROOT, free_port, running_gateway
+from processor_wait import ProcessorWait
 from soak_troubles import FaultSchedule, FaultyTableServer
 from term_judge import TermsChecker
 
@@ -276,6 +277,7 @@
                 gateway.send_signal(signal.SIGHUP)
 
             schedule.set_discovery = set_discovery
+            checker.processor_wait = ProcessorWait(gateway.pid)
             counts: Counter[str] = Counter()
             stopped = asyncio.Event()
             clients = [Client(i, options.seed, address, counts, checker) for i in range(options.clients)]
--- a/tests/term_judge.py
+++ b/tests/term_judge.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections import Counter
 from dataclasses import dataclass, field
 
+from processor_wait import ProcessorWait
+
 TIMING_SLACK = 0.05  # seconds added to each limit when it is measured on sockets
 DEADLINE_SLACK = 0.15  # seconds by which a forwarded timeout may exceed the client's remaining time
 CLIENT_CLOSE_DELAY = 0.1  # seconds after a client's close in which an attempt may still start
@@ -46,10 +49,13 @@
         self.violations: Counter[str] = Counter()
         self.max_lag = 0.0  # seconds by which this process's event loop was late at most
         self.gateway_stall = lambda: 0.0  # seconds by which stalls of the gateway exceeded stall_ms
+        self.processor_wait: ProcessorWait | None = None  # of the gateway
 
     async def measure_lag(self) -> None:
-        """Keep max_lag up to date until cancelled."""
+        """Keep max_lag up to date, and sample the gateway's wait for a processor, until cancelled."""
         while True:
+            if self.processor_wait is not None:
+                self.processor_wait.sample()
             before = time.monotonic()
             await asyncio.sleep(0.01)
             self.max_lag = max(self.max_lag, time.monotonic() - before - 0.01)
@@ -66,12 +72,21 @@
         """
         if overrun > self.max_lag:
             asyncio.get_running_loop().call_later(
-                LAG_CONFIRM_DELAY, self.confirm_late, kind, request, overrun
+                LAG_CONFIRM_DELAY, self.confirm_late, kind, request, overrun, time.monotonic()
             )
 
-    def confirm_late(self, kind: str, request: bytes, overrun: float) -> None:
+    def confirm_late(self, kind: str, request: bytes, overrun: float, noticed_at: float) -> None:
         if overrun > self.max_lag + self.gateway_stall():
-            self.record_violation(kind, request, f"by {overrun:.3f} s")
+            self.record_violation(kind, request, f"by {overrun:.3f} s; {self.describe(request, noticed_at)}")
+
+    def describe(self, request: bytes, noticed_at: float) -> str:
+        """Return what held up the gateway and this process from the request's sending until `noticed_at`."""
+        sent_at = self.records[request].sent_at
+        waited = self.processor_wait.between(sent_at, noticed_at) if self.processor_wait else math.nan
+        return (
+            f"gateway waited {waited:.3f} s for a processor, stalled {self.gateway_stall():.3f} s too long; "
+            f"this process was late by {self.max_lag:.3f} s at most"
+        )
 
     def request_sent(self, request: bytes, idempotency: str, sent_at: float, timeout: float) -> None:
         self.records[request] = RequestRecord(idempotency, sent_at, timeout)
