Parse a long value once, and not anew with each piece of it

Cause: with every read, the parser began the command that was coming from its first header again, so that the cost of a long value grew with its pieces; reads of 32 KB at most made that three times a command. Done: the parser keeps how much the value needs and waits for it. The new test fails before, with 2,635 headers parsed where under 30 are allowed.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -22,8 +22,8 @@
 )
 
 from thymehinge import interface as api
-from thymehinge.net import client_connection, clients
-from thymehinge.net.resp import CommandParser, ProtocolError
+from thymehinge.net import client_connection, clients, resp
+from thymehinge.net.resp import MAX_VALUE_BYTES, CommandParser, ProtocolError
 
 
 @pytest.mark.parametrize(
@@ -301,3 +301,19 @@
         parser.next_command()
         parser.feed(b"*4000000000\r\n"[split_at:])
         parser.next_command()
+
+
+def test_long_value_in_small_pieces_is_not_parsed_anew_with_each_piece(monkeypatch):
+    """Guards the processor against clients that send a long command in many small pieces."""
+    parsed_headers = []
+    parse_header = resp.parse_header
+    monkeypatch.setattr(
+        resp, "parse_header", lambda *arguments: parsed_headers.append(1) or parse_header(*arguments)
+    )
+    parser, body = CommandParser(), b"m" * MAX_VALUE_BYTES
+    command = pack_request(b"API.WRITE", b"c=order,t=village,d=3000,k=1", body)
+    for start in range(0, len(command), 100):
+        assert parser.next_command() is None
+        parser.feed(command[start : start + 100])
+    assert parser.next_command()[-1] == body
+    assert len(parsed_headers) < 30
--- a/thymehinge/net/resp.py
+++ b/thymehinge/net/resp.py
@@ -24,7 +24,11 @@
 
 
 class IncompleteMessageError(Exception):
-    """More data is needed to parse the message."""
+    """More data is needed to parse the message: up to the offset `end`, if it is known, else 0."""
+
+    def __init__(self, end: int = 0) -> None:
+        super().__init__(end)
+        self.end = end
 
 
 def parse_header(data: bytes, offset: int, type_byte: bytes) -> tuple[int, int]:
@@ -53,7 +57,7 @@
     if not b"\r\n".startswith(data[end - 2 : end]):
         raise ProtocolError("a string does not end where it should")
     if len(data) < end:
-        raise IncompleteMessageError
+        raise IncompleteMessageError(end)
     return data[offset : end - 2], end
 
 
@@ -105,10 +109,11 @@
 class CommandParser:
     """Incremental parser that splits a client's stream into commands."""
 
-    __slots__ = ("buffer", "offset")
+    __slots__ = ("buffer", "needed_bytes", "offset")
 
     def __init__(self) -> None:
         self.buffer, self.offset = b"", 0
+        self.needed_bytes = 0  # after the offset; with fewer, the next command is known to be incomplete
 
     def feed(self, data: bytes) -> None:
         self.buffer = self.buffer[self.offset :] + data if self.offset < len(self.buffer) else data
@@ -116,13 +121,15 @@
 
     def discard(self) -> None:
         """Discard all buffered data."""
-        self.buffer, self.offset = b"", 0
+        self.buffer, self.offset, self.needed_bytes = b"", 0, 0
 
     def next_command(self) -> list[bytes] | None:
         """Return the name and arguments of the next command, or None if it is incomplete.
 
         Raises ProtocolError if the data is not a command; the rest of the stream cannot be parsed then.
         """
+        if len(self.buffer) - self.offset < self.needed_bytes:
+            return None
         data, arguments = self.buffer, []
         try:
             count, offset = parse_header(data, self.offset, b"*")
@@ -133,13 +140,16 @@
                 if argument is None:
                     raise ProtocolError("a command holds a null")
                 arguments.append(argument)
-        except IncompleteMessageError:
+        except IncompleteMessageError as error:
+            self.needed_bytes = error.end - self.offset
             if len(data) - self.offset > MAX_PARTIAL_COMMAND_BYTES:
                 raise ProtocolError("a command is too long") from None
             return None
-        self.offset = offset
-        if offset == len(data):
-            self.discard()
+        self.needed_bytes = 0
+        if offset < len(data):
+            self.offset = offset
+        else:
+            self.buffer, self.offset = b"", 0
         return arguments
 
     def has_unparsed(self) -> bool:
