Call a silent discovery each 1.2 s at the latest, however slow its answers were

Cause: the time-out learnt from slow answers, up to 2.4 s, was also the time between two calls that get no answer. Done: with calls pending, the next follows after 1.2 s at most.

--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from contextlib import suppress
+from itertools import pairwise
 
 from discoverykit import SERVER_ENTRY, FakeDiscovery
 from netkit import run_on_uvloop
@@ -13,6 +14,7 @@
 from thymehinge.net.discovery import HostList, watch_hosts
 
 PROPAGATION_TIME = 6.0  # seconds within which a change must reach the gateway
+DRAIN_GRACE = 2.0  # seconds for which a drained server may get requests after the return of discovery
 TIMING_SLACK = 0.2  # seconds for scheduling delays, since all scenarios run at once
 
 
@@ -85,6 +87,29 @@
     run_on_uvloop(test())
 
 
+def test_calls_to_silent_discovery_follow_soon_after_slow_answers():
+    """Guards a drain against an outage after slow answers, whose learnt timeout exceeded the drain grace."""
+
+    async def test() -> None:
+        discovery, received = FakeDiscovery([SERVER_ENTRY], 1.6), asyncio.Queue()
+        task = asyncio.create_task(watch_hosts(await discovery.listen(), received.put_nowait, 2**20))
+        async with asyncio.timeout(10.0):
+            await received.get()
+            discovery.unanswered_before = time.monotonic() + 60.0
+            call_times, calls = [], discovery.calls
+            while len(call_times) < 4:
+                await asyncio.sleep(0.01)
+                if discovery.calls > calls:
+                    calls = discovery.calls
+                    call_times.append(time.monotonic())
+        gaps = [later - earlier for earlier, later in pairwise(call_times[1:])]  # the first one is a watch
+        assert max(gaps) < DRAIN_GRACE, gaps
+        task.cancel()
+        await discovery.runner.cleanup()
+
+    run_on_uvloop(test())
+
+
 def test_move_to_slow_discovery_within_four_seconds():
     """Guards the 4 s for a reload with a first list that arrives 2 s after the call."""
 
--- a/thymehinge/net/call_schedule.py
+++ b/thymehinge/net/call_schedule.py
@@ -21,7 +21,9 @@
 SLOW_ANSWER_FACTOR = 1.5  # ratio of the answer timeout to the answer time where discovery is slow
 ANSWER_TIME_DECAY = 0.7  # fraction of the answer time that is kept if the next answer is faster
 OVERDUE_TIMEOUT_GROWTH = 1.25  # factor on the answer timeout for each overdue call
-MAX_OVERDUE_TIMEOUT = 1.2  # seconds; limit of that growth
+MAX_OVERDUE_TIMEOUT = (
+    1.2  # seconds; limit of that growth, and of the time between two calls without an answer
+)
 WATCH_DELAY = 0.02  # seconds from an answer to the next watch; no busy loop if watches return at once
 MIN_RETRY_DELAY = 0.1  # seconds; a call within 0.2 s of the last answer continues the watch
 MAX_RETRY_DELAY = 1.0  # seconds from call to call while responses are unusable: discovery may be overloaded
@@ -38,15 +40,22 @@
         self.answer_time = 0.0  # seconds beyond the watch timeout, as a decaying maximum
         self.answer_timeout = ANSWER_TIMEOUT
 
-    def start_call(self, now: float, is_watch: bool) -> float:
-        """Record the start of a call and return its watch timeout in seconds, 0 for a snapshot."""
+    def start_call(self, now: float, is_watch: bool, others_pending: bool = False) -> float:
+        """Record the start of a call and return its watch timeout in seconds, 0 for a snapshot.
+
+        With `others_pending`, other calls have no answer yet: discovery may be down, and its return must show
+        soon, however slow its answers were before.
+        """
         watch_timeout = 0.0
         if is_watch:
             reserved = WATCH_DELAY + MIN_RETRY_DELAY + 2 * self.answer_timeout  # no answer, then a slow one
             watch_timeout = max(
                 MIN_WATCH_TIMEOUT, min(WATCH_TIMEOUT, PROPAGATION_TIME - LAG_MARGIN - reserved)
             )
-        self.next_call_at = now + watch_timeout + self.answer_timeout
+        overdue_timeout = self.answer_timeout
+        if others_pending:
+            overdue_timeout = min(overdue_timeout, MAX_OVERDUE_TIMEOUT)
+        self.next_call_at = now + watch_timeout + overdue_timeout
         return watch_timeout
 
     def on_overdue(self) -> None:
--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -246,7 +246,8 @@
 
         The oldest call is cancelled once it exceeds CALL_TIMEOUT; else, at MAX_CALLS, the second oldest is.
         """
-        if self.calls:
+        others_pending = bool(self.calls)
+        if others_pending:
             log.warning("discovery: no answer for %.1f s", now - self.calls[-1].started_at)
             self.version = None
             self.schedule.on_overdue()
@@ -254,7 +255,7 @@
             keep_oldest = len(self.calls) > 1 and now - self.calls[0].started_at <= CALL_TIMEOUT
             self.calls.pop(int(keep_oldest)).cancel()
         client, self.idle_client = self.idle_client or HttpClient(self.address, self.max_body_bytes), None
-        watch_timeout = self.schedule.start_call(now, is_watch=self.version is not None)
+        watch_timeout = self.schedule.start_call(now, self.version is not None, others_pending)
         self.calls.append(Call(client, self.version, watch_timeout, now))
 
     def finish_call(self, call: Call) -> None:
