Put an unused connection back in its place among the idle ones of its pool

Cause: Pool.send_waiting put a connection that its attempt no longer needed behind younger ones that were not reusable yet, so that close_idle, which stops at the first young one, left it open past the limit, and the table server might close it under a request. Done: it goes back in the order of idle times. Measured: the new test fails before, with the old connection kept.

--- a/thymehinge/net/servers.py
+++ b/thymehinge/net/servers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import math
 from collections import deque
 from collections.abc import Callable
@@ -122,8 +123,8 @@
         now = self.servers.clock()
         while self.waiting and (connection := self.take_reusable(now)) is not None:
             attempt = self.next_waiting(now)
-            if attempt is None:
-                self.idle.append(connection)
+            if attempt is None:  # back to its place in the order: younger ones may not be reusable yet
+                bisect.insort(self.idle, connection, key=lambda idle: idle.idle_since)
             else:
                 connection.send_command(attempt, now)
 
