Move the tests' settings out of a test file into a module of their own

Cause: the harness of the sockets imported its settings from test_adapter.py, a file of tests. Done: sample_settings.py, text unchanged.

--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -11,7 +11,7 @@
 
 import hiredis
 import uvloop
-from test_adapter import RAW_SETTINGS
+from sample_settings import RAW_SETTINGS
 
 from thymehinge import interface as api
 from thymehinge.net.config import parse_config
