Stamp data that one read did not take in with its arrival before the read is processed

Done: after a full read the rest in the kernel is stamped with the arrival of the kernel's latest data, before processing.

--- a/tests/test_arrival_times.py
+++ b/tests/test_arrival_times.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import re
 import time
 from contextlib import suppress
@@ -24,8 +25,11 @@
     run_on_uvloop,
     success_reply,
 )
+from processor_wait import read_processor_wait
 
 from thymehinge import interface as api
+from thymehinge.net.client_connection import READ_BUFFER_BYTES
+from thymehinge.net.exchange import Exchange
 
 DEADLINE_SLACK = 0.15  # seconds by which a server's deadline may be later than the client's
 ANSWER_GRACE = 0.5  # seconds after its deadline for which an answer still counts as on time
@@ -76,16 +80,43 @@
         client.write(
             b"".join(numbered_request(index, b"c=lookup,t=village,d=1000") for index in range(request_count))
         )
-        sent_at = harness.driver.clock()
+        sent_at, waited_before = harness.driver.clock(), read_processor_wait(os.getpid())
         for _ in range(request_count):
             await client.read()
-        assert harness.driver.clock() - sent_at < 1.0 + ANSWER_GRACE
+        elapsed = harness.driver.clock() - sent_at
+        waited = read_processor_wait(os.getpid()) - waited_before
+        assert elapsed < 1.0 + ANSWER_GRACE, f"{elapsed:.3f} s, {waited:.3f} s of it without a processor"
         deadlines = [deadline for server in servers for deadline in server.deadlines]
         assert deadlines and max(deadlines) <= sent_at + 1.0 + DEADLINE_SLACK
 
     run_on_uvloop(test())
 
 
+def test_arrival_of_data_beyond_one_read_is_not_delayed_by_processing():
+    """Guards the forwarded timeout of commands that are read only after the ones before were processed."""
+
+    async def test() -> None:
+        harness, received_at = GatewayHarness(), []
+
+        def process_slowly(exchange: Exchange) -> None:
+            received_at.append(exchange.received_at)
+            harness.clock_offset += 0.01
+            exchange.answer(b"-BUSY\r\n")
+
+        harness.driver.clients.on_request = process_slowly
+        request_count = 3 * READ_BUFFER_BYTES // 100
+        data = b"".join(numbered_request(n, b"c=lookup,t=village,d=1000") for n in range(request_count))
+        client = await harness.connect_raw_client(data)
+        sent_at = harness.driver.clock()
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while len(received_at) < request_count:
+                await asyncio.sleep(0)
+        client.close()
+        assert max(received_at) <= sent_at + DEADLINE_SLACK
+
+    run_on_uvloop(test())
+
+
 @pytest.mark.parametrize("pause_reason", ["full", "slow"])
 def test_timeout_counts_while_reading_is_paused(pause_reason, monkeypatch):
     """Guards the forwarded timeout of a request that is in the kernel's buffer while reading is paused."""
--- a/thymehinge/net/arrivals.py
+++ b/thymehinge/net/arrivals.py
@@ -48,6 +48,10 @@
         self.received_bytes += size
         self.add_mark(self.received_bytes, arrived_at)
 
+    def record_arrived(self, unread: int, arrived_at: float) -> None:
+        """Record that `unread` bytes behind those read had arrived at `arrived_at`."""
+        self.add_mark(self.received_bytes + unread, arrived_at)
+
     def discard_read(self) -> None:
         """Discard the arrival times of all bytes read so far."""
         while self.marks and self.marks[0][0] <= self.received_bytes:
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -229,7 +229,10 @@
             if not self.pipeline_full:  # all complete commands are parsed: the next one ends in the new data
                 self.arrival_times.discard_read()
             data_age = seconds_since_last_data(self.sock) or 0.0  # the event loop may have stalled meanwhile
-            self.arrival_times.record_read(len(data), self.clients.clock() - data_age)
+            arrived_at = self.clients.clock() - data_age
+            self.arrival_times.record_read(len(data), arrived_at)
+            if len(data) == READ_BUFFER_BYTES:  # what did not fit has arrived too, and is read later
+                self.arrival_times.record_arrived(unread_bytes(self.sock), arrived_at)
             self.parser.feed(data)
             self.process_commands()
 
