--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,6 +6,7 @@
 import os
 import time
 
+import hiredis
 from netkit import (
     WAIT_TIMEOUT,
     GatewayHarness,
@@ -20,6 +21,7 @@
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
+from thymehinge.net import driver
 from thymehinge.net.server_connection import Attempt
 
 
@@ -53,6 +55,46 @@
     run_on_uvloop(test())
 
 
+def test_duplicate_answer_is_read_before_reuse_timer_frees_connection(monkeypatch):
+    """Guards against mixed-up answers when the timer for reuse runs before the sockets are read.
+
+    The driver reads the sockets itself after a long stall; that is off here, as after a short one.
+    """
+    monkeypatch.setattr(driver, "STALL_THRESHOLD", WAIT_TIMEOUT)
+
+    async def test() -> None:
+        harness, connections = await harness_with_server()
+        client, server = await request_in_flight(harness, connections)
+        server.write(success_reply(b"first"))
+        assert await client.read() == b"first"
+        connects_allowed, outcomes = harness.hold_connects(), []
+        harness.driver.servers.on_outcome = lambda a, result, report, value: outcomes.append(value)
+        now = harness.driver.clock()
+        attempt = Attempt(StubExchange(), 0, "s1", now, now + WAIT_TIMEOUT)
+        other_client = await harness.connect_client()
+
+        def stall() -> bool:
+            """Stall while sockets are polled: timers run before the next poll, which finds the duplicate."""
+            harness.driver.servers.pools["s1"].start_attempt(attempt)
+            os.write(server.writer.get_extra_info("socket").fileno(), success_reply(b"first"))
+            time.sleep(0.1)
+            return True
+
+        harness.driver.clients.is_ready = stall
+        other_client.write(hiredis.pack_command(("PING",)))
+        assert await server.wait_closed()
+        connects_allowed.set()
+        new_server = await next_item(connections)
+        await new_server.read()
+        new_server.write(success_reply(b"second"))
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while not outcomes:
+                await asyncio.sleep(0)
+        assert outcomes == [b"second"]
+
+    run_on_uvloop(test())
+
+
 class StubExchange:
     """A request with only the methods that an attempt calls."""
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -391,3 +391,37 @@
         assert await client.read() == b"two"
 
     run_on_uvloop(test())
+
+
+def test_connection_in_use_is_not_reused_after_address_change():
+    """Guards against a request to the server that now stands at the former address of another."""
+
+    async def test() -> None:
+        harness, old_connections = await harness_with_server()
+        new_address, new_connections = await harness.start_server()
+        client, old_connection = await request_in_flight(harness, old_connections)
+        harness.driver.on_list(host_list(2, False, s1=new_address))
+        old_connection.write(success_reply(b"one"))
+        assert await client.read() == b"one"
+        assert await old_connection.wait_closed()
+        client.write(pack_request())
+        new_connection = await next_item(new_connections)
+        await new_connection.read()
+        new_connection.write(success_reply(b"two"))
+        assert await client.read() == b"two"
+
+    run_on_uvloop(test())
+
+
+def test_snapshot_closes_connections_to_unlisted_servers():
+    """Guards table servers that a snapshot leaves out against connections that stay open."""
+
+    async def test() -> None:
+        harness, connections = await harness_with_server()
+        client, connection = await request_in_flight(harness, connections)
+        connection.write(success_reply(b"one"))
+        assert await client.read() == b"one"
+        harness.driver.on_list(host_list(2, s2="127.0.0.1:1"))
+        assert await connection.wait_closed()
+
+    run_on_uvloop(test())
