--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -117,7 +117,9 @@
             raise CommandError(f"wrong number of arguments ({len(arguments)})")
         if not (HEX_ID.fullmatch(arguments[1]) and HEX_ID.fullmatch(arguments[2])):
             raise CommandError("customer and id are 16 hexadecimal digits")
-        self.customer_id, self.wire_id = int(arguments[1], 16), arguments[2].lower()
+        self.customer_id, lower_case_id = int(arguments[1], 16), arguments[2].lower()
+        # most clients send it in lower case; then no second copy is kept
+        self.wire_id = arguments[2] if arguments[2] == lower_case_id else lower_case_id
         if self.customer_id >= CUSTOMER_ID_END:
             raise CommandError("no such customer")
         fields = parse_fields(arguments[3])
