Share processor time among client connections by start-time fair queueing

Cause: data_received processed a whole read at once, and the event loop reads one stream up to 32 times in a turn, so that a connection had up to 1 MB of commands processed (75,000 PINGs) before any other was read. The end of a pause processed all further commands within the event of one answer as well.

Data that is read now waits for a turn (net/fair_queue.py). The connection that has used the least time comes first, a turn lasts 0.5 ms, and after 2 ms the sockets are polled again. While commands wait, reading goes on up to 128 KB for a connection and half of the memory for clients over all, so that a client's end is noticed. A slow reader's commands are not processed either. Arrival marks within 10 ms are merged, since data is now read in pieces while earlier commands wait.

--- a/thymehinge/net/arrivals.py
+++ b/thymehinge/net/arrivals.py
@@ -9,6 +9,7 @@
 from collections import deque
 
 TCP_INFO_LAST_DATA = struct.Struct("@52xI")  # tcpi_last_data_recv (ms) in Linux's struct tcp_info
+MARK_INTERVAL = 0.01  # seconds; bytes that arrive within it count as arrived at its start
 UNREAD_COUNT = struct.Struct("@i")  # result of FIONREAD
 
 
@@ -68,8 +69,12 @@
         self.counted_at = now
 
     def add_mark(self, end: int, arrived_at: float) -> None:
-        if not self.marks or end > self.marks[-1][0]:
-            self.marks.append((end, arrived_at))
+        """Add a mark, merged with those that are not MARK_INTERVAL older, which bounds their number."""
+        if self.marks and end <= self.marks[-1][0]:
+            return
+        while self.marks and arrived_at < self.marks[-1][1] + MARK_INTERVAL:
+            arrived_at = min(arrived_at, self.marks.pop()[1])
+        self.marks.append((end, arrived_at))
 
     def time_of(self, end: int) -> float:
         """Return the earliest arrival time of the byte that ends at position `end`.
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -38,7 +38,9 @@
     from thymehinge.net.clients import Clients
 
 MAX_PIPELINED_COMMANDS = 256  # pending commands of one connection at which reading pauses
-READ_BUFFER_BYTES = 32 * 1024  # read at once; bounds the data that is left unparsed when reading pauses
+READ_BUFFER_BYTES = 32 * 1024  # read at once
+# Unparsed data up to which reading goes on while commands wait, so that the end of the stream is noticed.
+READ_AHEAD_BYTES = 128 * 1024
 MAX_INVALID_COMMANDS = 8  # on a connection before it is closed
 MIN_LINGER_TIMEOUT = 1.0  # seconds; a client always has this long after the close to read its last replies
 ANSWER_GRACE = 0.5  # seconds after its deadline for which a reply still counts as on time, by protocol
@@ -84,10 +86,12 @@
         "pending",
         "phase",
         "pipeline_full",
+        "queued",
         "slow_reader",
         "sock",
         "transport",
         "unparsed_bytes",
+        "used_time",
     )
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
@@ -97,6 +101,8 @@
         self.transport: asyncio.Transport | None = None
         self.phase = Phase.OPEN
         self.pipeline_full = self.batching = self.slow_reader = False
+        self.queued = False  # whether it waits for its turn to process commands, or has it
+        self.used_time = clients.queue.virtual_time  # see FairQueue; no credit for a new connection
         self.invalid_commands, self.idle_since = 0, clients.clock()  # idle_since: initially the connect time
         self.command_started_at = math.inf  # when the current partial command was first seen
         self.held_bytes = 0  # for pending requests and replies, and unparsed data
@@ -129,8 +135,8 @@
         self.flush()
 
     def close_unless_unread(self) -> None:
-        """Close gracefully, unless data in the kernel is unread: it may contain a request."""
-        if not unread_bytes(self.sock):
+        """Close gracefully, unless data waits to be read or processed: it may contain a request."""
+        if not (self.queued or unread_bytes(self.sock)):
             self.close_gracefully()
 
     def close_transport(self) -> None:
@@ -187,7 +193,7 @@
     # Reading commands.
 
     def pause_writing(self) -> None:
-        """Stop reading commands while the client is slow to read its replies."""
+        """Stop reading and processing commands while the client is slow to read its replies."""
         self.slow_reader = True
         self.clients.slow_readers[self] = self.clients.clock()
         self.pause_reading()
@@ -195,21 +201,46 @@
     def resume_writing(self) -> None:
         self.slow_reader = False
         self.clients.slow_readers.pop(self, None)
-        self.resume_reading()
+        self.resume_processing()
+
+    def resume_processing(self) -> None:
+        """Continue with commands after a pause; the timeout of a partial command restarts."""
+        self.command_started_at = math.inf
+        if self.phase is Phase.OPEN and not self.is_blocked():
+            self.clients.enqueue(self)
+
+    def is_blocked(self) -> bool:
+        """Return whether commands have to wait for the client to read, or for earlier ones to be answered."""
+        return self.slow_reader or self.pipeline_full
+
+    def update_reading(self) -> None:
+        """Pause reading while enough unprocessed data has been read, else resume it."""
+        if self.phase is not Phase.OPEN:
+            return
+        if self.slow_reader or (self.has_waiting_commands() and self.has_read_ahead()):
+            self.pause_reading()
+        else:
+            self.resume_reading()
+
+    def has_waiting_commands(self) -> bool:
+        """Return whether commands that have been read are not processed yet."""
+        return self.queued or self.pipeline_full
+
+    def has_read_ahead(self) -> bool:
+        """Return whether no more data is to be read before commands that wait have been processed."""
+        return self.unparsed_bytes >= READ_AHEAD_BYTES or not self.clients.memory.allows_read_ahead()
 
     def resume_reading(self) -> None:
-        """Resume reading if nothing requires a pause; the timeout of a partial command restarts."""
-        if self.phase is Phase.OPEN and not (self.slow_reader or self.pipeline_full):
+        """Resume reading if it is paused."""
+        if self in self.clients.read_paused:
             self.record_unread()
             self.clients.read_paused.discard(self)
             self.transport.resume_reading()
-            self.command_started_at = math.inf
-            self.track_partial_command()
 
     def pause_reading(self) -> None:
         """Pause reading; the arrival times of unread data are recorded periodically from now on."""
-        self.transport.pause_reading()
         if self not in self.clients.read_paused:
+            self.transport.pause_reading()
             self.clients.read_paused.add(self)
             self.arrival_times.start_pause(unread_bytes(self.sock), self.clients.clock())
 
@@ -225,8 +256,9 @@
         self.data_received(bytes(memoryview(self.clients.read_buffer)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
+        """Take in data and wait for a turn to process it, see `Clients.run_queue`."""
         if self.phase is Phase.OPEN:
-            if not self.pipeline_full:  # all complete commands are parsed: the next one ends in the new data
+            if not self.has_waiting_commands():  # then the next command ends in the new data
                 self.arrival_times.discard_read()
             data_age = seconds_since_last_data(self.sock) or 0.0  # the event loop may have stalled meanwhile
             arrived_at = self.clients.clock() - data_age
@@ -234,23 +266,33 @@
             if len(data) == READ_BUFFER_BYTES:  # what did not fit has arrived too, and is read later
                 self.arrival_times.record_arrived(unread_bytes(self.sock), arrived_at)
             self.parser.feed(data)
-            self.process_commands()
+            self.hold_unparsed()
+            if not self.is_blocked():
+                self.clients.enqueue(self)
+            self.update_reading()
+
+    def process_commands(self, until: float) -> bool:
+        """Process complete commands, up to the limit on pending ones or this time of the clock.
 
-    def process_commands(self) -> None:
-        """Process complete commands, up to the limit on pending ones."""
+        At least one command is processed. Return whether the connection needs another turn.
+        """
         more = True
-        while more and self.phase is Phase.OPEN and not self.pipeline_full:
+        while more and self.phase is Phase.OPEN and not self.is_blocked():
             try:
-                more = self.process_batch()
+                more = self.process_batch(until)
             except ProtocolError as error:
-                return self.close_with_protocol_error(str(error))
+                self.close_with_protocol_error(str(error))
             self.flush()
             if len(self.pending) >= MAX_PIPELINED_COMMANDS and self.phase is Phase.OPEN:
                 self.pipeline_full = True
-                self.pause_reading()
-        return self.track_partial_command()
-
-    def process_batch(self) -> bool:
+            if self.clients.clock() >= until:
+                break
+        self.queued = more and self.phase is Phase.OPEN and not self.is_blocked()
+        self.track_partial_command()
+        self.update_reading()
+        return self.queued
+
+    def process_batch(self, until: float) -> bool:
         """Process commands whose immediate replies are written together; return whether more may follow."""
         self.batching = True
         try:
@@ -260,6 +302,8 @@
                     return False
                 self.command_started_at = math.inf
                 self.handle_command(arguments)
+                if self.clients.clock() >= until:
+                    return self.parser.has_unparsed()
             return True
         finally:
             self.batching = False
@@ -269,7 +313,8 @@
         self.hold_unparsed()
         mid_command = self.clients.mid_command
         mid_command.pop(self, None)
-        if self.parser.has_unparsed() and self.phase is Phase.OPEN and not self.pipeline_full:
+        is_partial = self.parser.has_unparsed() and not self.has_waiting_commands()
+        if is_partial and self.phase is Phase.OPEN:
             if not self.clients.memory.admits(self.unparsed_bytes):
                 return self.close_gracefully(b"-ERR not enough memory for this command\r\n")
             mid_command[self] = now = self.clients.clock()
@@ -347,9 +392,7 @@
             self.on_all_answered(bool(ready))
         if self.pipeline_full and len(self.pending) < MAX_PIPELINED_COMMANDS // 2:
             self.pipeline_full = False
-            self.resume_reading()
-            if self.parser.has_unparsed():
-                self.process_commands()
+            self.resume_processing()
 
     def has_no_input(self) -> bool:
         """Return whether no received data is pending, in the parser or in the kernel's receive buffer."""
--- a/thymehinge/net/client_memory.py
+++ b/thymehinge/net/client_memory.py
@@ -11,6 +11,7 @@
     from thymehinge.net.client_connection import ClientConnection
 
 TOTAL_FRACTION = 1 / 4  # of the memory limit of the process, for the data of all clients
+READ_AHEAD_FRACTION = 1 / 2  # of that memory, above which no data is read before it can be processed
 REPORT_INTERVAL = 5.0  # seconds between two such log lines
 REQUEST_OVERHEAD_BYTES = 4 * 1024  # objects and timers of a pending request, beside its command
 
@@ -67,6 +68,10 @@
         self.refused_requests += 1
         return False
 
+    def allows_read_ahead(self) -> bool:
+        """Return whether there is memory for data that is read before it can be processed."""
+        return self.held_bytes < READ_AHEAD_FRACTION * self.limit_bytes
+
     def report(self, connections: Iterable[ClientConnection], now: float) -> None:
         """Log refused requests and what the connections hold, at most once in REPORT_INTERVAL."""
         if self.refused_requests and now >= self.next_report_at:
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -12,6 +12,7 @@
 from thymehinge.net.client_connection import ANSWER_GRACE, READ_BUFFER_BYTES, ClientConnection
 from thymehinge.net.client_memory import ClientMemory
 from thymehinge.net.exchange import AcceptedValues, CommandError, Exchange
+from thymehinge.net.fair_queue import FairQueue
 
 MIN_SLOW_READER_TIMEOUT = 30.0  # seconds for which a client may always leave replies unread
 FIRST_REQUEST_TIMEOUT = 2.0  # seconds from connecting to the first request
@@ -20,6 +21,8 @@
 IDLE_TIMEOUT = 10.0  # seconds between requests
 ACCEPT_RETRY_DELAY = 0.02  # seconds after a failed accept; memory or descriptors may be exhausted briefly
 ACCEPT_BATCH_SIZE = 16  # connections accepted in one event loop turn, so that a burst does not delay others
+CONNECTION_TURN = 0.0005  # seconds for which a connection's commands are processed before the next one's
+LOOP_TURN = 0.002  # seconds of one event loop turn for processing commands; sockets are polled in between
 
 log = logging.getLogger(__name__)
 
@@ -63,6 +66,7 @@
         self.slow_readers: dict[ClientConnection, float] = {}  # when writing to them was paused
         self.lingering: dict[ClientConnection, float] = {}  # closed by the gateway; when to abort
         self.read_paused: set[ClientConnection] = set()
+        self.queue, self.queue_scheduled = FairQueue(), False  # connections with data to process
         self.backlog_since: float | None = None  # since when connections may be waiting to be accepted
         self.pending_ids: set[bytes] = set()  # of the requests without a reply
 
@@ -83,6 +87,43 @@
     def unregister_request(self, exchange: Exchange) -> None:
         self.pending_ids.discard(exchange.wire_id)
 
+    # Processor time.
+
+    def enqueue(self, connection: ClientConnection) -> None:
+        """Have a connection's commands processed when it is its turn."""
+        if not connection.queued:
+            connection.queued = True
+            self.queue.add(connection)
+            self.schedule_queue()
+
+    def schedule_queue(self) -> None:
+        if not self.queue_scheduled:
+            self.queue_scheduled = True
+            self.loop.call_soon(self.run_queue)
+
+    def run_queue(self) -> None:
+        """Process commands for LOOP_TURN at most; the rest waits until the sockets have been polled."""
+        self.queue_scheduled = False
+        started_at = now = self.clock()
+        while self.queue and now < started_at + LOOP_TURN:
+            now = self.run_turn(self.queue.pop(), now)
+        if self.queue:
+            self.schedule_queue()
+
+    def run_turn(self, connection: ClientConnection, started_at: float) -> float:
+        """Process a connection's commands for CONNECTION_TURN, and return the time at its end."""
+        needs_turn = False
+        try:
+            needs_turn = connection.process_commands(started_at + CONNECTION_TURN)
+        except Exception:
+            log.exception("unexpected exception while processing commands")
+            connection.abort()
+        ended_at = self.clock()
+        self.queue.charge(connection, ended_at - started_at)
+        if needs_turn:
+            self.queue.add(connection)
+        return ended_at
+
     # Connections.
 
     def listen(self, listener: socket.socket) -> None:
