Drop the timers of ended requests once the heap has doubled

Cause: each request sets three to five timers in the decision module and one in the driver, which stayed in their heaps until they were due, up to 60 s after the request's end.

A heap that has doubled is rebuilt without the timers of ended requests (thymehinge/timers.py), which takes time in proportion to the timers added since.

--- a/thymehinge/decisions.py
+++ b/thymehinge/decisions.py
@@ -20,6 +20,7 @@
 
 from thymehinge import interface as api
 from thymehinge.interface import DedupScope, Idempotency, LifecycleState, Result
+from thymehinge.timers import MIN_COMPACTED_SIZE, compact
 
 # Quotas and messages between gateways.
 # Long enough to smooth single requests, short enough to follow a shift of traffic between gateways.
@@ -107,6 +108,7 @@
 LOG_OVERLOADED = "latency target missed; reducing use beyond quotas"
 LOG_RECOVERED = "latency targets met; raising use beyond quotas gradually"
 DEDUP_WINDOW_FRACTION = 0.9  # of a dedup window that is used; the rest covers the network
+GATEWAY_TIMERS = frozenset(("periodic", "watch", "flush"))  # kinds of timers that belong to no request
 MAX_PROCESS_STALL = 0.15  # seconds between reading the clock and writing, by the operators' terms
 
 
@@ -735,8 +737,9 @@
         self.ready_queue: list[tuple[float, int, Job]] = []  # heap, highest value first
         self.retry_budget, self.overloaded, self.watching = MAX_RETRY_BUDGET / 2, False, False
         self.actions: list[api.Action] = []
-        # Heap of due time, sequence number, kind and argument; timers outlive the requests they refer to.
+        # Heap of due time, sequence number, kind and argument; timers may outlive the requests they refer to.
         self.timers: list[tuple[float, int, str, int]] = []
+        self.compact_timers_at = MIN_COMPACTED_SIZE  # number of timers
         self.sequence, self.armed_at, self.timer_tag, self.started_at = (
             self.rng.getrandbits(16),
             math.inf,
@@ -795,6 +798,16 @@
         """Add a timer; `argument` is a request's id or a peer's index, according to its kind."""
         self.sequence += 1
         heapq.heappush(self.timers, (due_at, self.sequence, kind, argument))
+        if len(self.timers) >= self.compact_timers_at:
+            self.compact_timers_at = compact(self.timers, self.is_stale_timer)
+
+    def is_stale_timer(self, timer: tuple[float, int, str, int]) -> bool:
+        """Return whether a timer refers to a request that has ended."""
+        _, _, kind, argument = timer
+        if kind in GATEWAY_TIMERS:
+            return False
+        job = self.jobs.get(argument)
+        return job is None or job.done
 
     def run_due_timers(self, now: float) -> None:
         """Run the timers that are due, and set the caller's timer to the next one.
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -22,6 +22,7 @@
 from thymehinge.net.server_connection import Attempt
 from thymehinge.net.servers import Servers
 from thymehinge.net.start_times import StartTimes
+from thymehinge.timers import MIN_COMPACTED_SIZE, compact
 
 CLIENT_ROUND_TRIP = 0.004  # seconds of a client's timeout reserved for the network
 MAX_LAG = 0.05  # seconds; limit of the part of a client's timeout reserved for event loop lag
@@ -35,6 +36,7 @@
 log = logging.getLogger(__name__)
 
 Callback = Callable[[], None]
+NO_REQUEST = 0  # in place of a request's id
 
 
 def monotonic_unix_clock() -> Callable[[], float]:
@@ -74,9 +76,11 @@
         )
         self.exchanges: dict[int, Exchange] = {}  # by request id, until their last attempt has ended
         self.events: deque[api.Event] = deque()
-        self.timers: list[tuple[float, int, Callback]] = []  # a heap, by time and sequence number
+        # A heap, by time and sequence number; with the id of the request that a timer belongs to
+        self.timers: list[tuple[float, int, Callback, int]] = []
+        self.compact_timers_at = MIN_COMPACTED_SIZE  # number of timers
         self.armed_at, self.timer_handle = math.inf, None  # the event loop's timer for the earliest of them
-        self.sequence = self.last_request_id = 0
+        self.sequence, self.last_request_id = 0, NO_REQUEST
         self.loop_lag, self.dispatching, self.has_list = 0.0, False, False
         self.listening_since = math.inf  # when all listeners were open and calls to discovery had begun
         self.drain_deadline = math.inf  # when all requests have to be answered because the process ends
@@ -110,8 +114,8 @@
         exchange.request_id = self.last_request_id
         self.exchanges[self.last_request_id] = exchange
         exchange.deadline = now + time_left
-        request_id = exchange.request_id  # the timer outlives the request and must not keep it in memory
-        self.call_at(exchange.deadline, lambda: self.on_deadline(request_id))
+        request_id = exchange.request_id  # the timer may outlive the request and must not keep it in memory
+        self.call_at(exchange.deadline, lambda: self.on_deadline(request_id), request_id)
         return self.deliver(
             api.Request(
                 exchange.request_id,
@@ -204,7 +208,7 @@
 
     def fail_request(self, cause: api.Event | api.Action) -> None:
         """Answer the request of an event or action that raised an exception, unless its client has gone."""
-        exchange = self.exchanges.get(getattr(cause, "request_id", 0))
+        exchange = self.exchanges.get(getattr(cause, "request_id", NO_REQUEST))
         if exchange is not None and not isinstance(cause, api.ClientGone):
             self.abandon(exchange, FAILED_REPLY)
 
@@ -251,9 +255,13 @@
         )
         exchange.attempts.append(attempt)
         if start_deadline < exchange.deadline:
-            self.call_at(start_deadline, lambda: self.servers.abort_if_waiting(attempt))
+            self.call_at(start_deadline, lambda: self.servers.abort_if_waiting(attempt), exchange.request_id)
         if deadline < exchange.deadline:
-            self.call_at(deadline, lambda: self.servers.abort_attempt(attempt, Result.TIMEOUT))
+            self.call_at(
+                deadline,
+                lambda: self.servers.abort_attempt(attempt, Result.TIMEOUT),
+                exchange.request_id,
+            )
         self.servers.start_attempt(attempt)
 
     def refuse(self, action: api.Refuse) -> None:
@@ -303,13 +311,22 @@
 
     # Timers.
 
-    def call_at(self, when: float, callback: Callback) -> None:
-        """Call a function at a time of the clock, or as soon as possible after it."""
+    def call_at(self, when: float, callback: Callback, request_id: int = NO_REQUEST) -> None:
+        """Call a function at a time of the clock, or as soon as possible after it.
+
+        With `request_id`, it may not be called any more once that request is finished.
+        """
         self.sequence += 1
-        heapq.heappush(self.timers, (when, self.sequence, callback))
+        heapq.heappush(self.timers, (when, self.sequence, callback, request_id))
+        if len(self.timers) >= self.compact_timers_at:
+            self.compact_timers_at = compact(self.timers, self.is_stale_timer)
         if when < self.armed_at:
             self.set_timer(when)
 
+    def is_stale_timer(self, timer: tuple[float, int, Callback, int]) -> bool:
+        """Return whether a timer belongs to a request that is finished."""
+        return timer[3] != NO_REQUEST and timer[3] not in self.exchanges
+
     def set_timer(self, when: float) -> None:
         """Replace the event loop's timer."""
         if self.timer_handle is not None:
