--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from contextlib import suppress
 
 import hiredis
 import pytest
@@ -11,6 +13,7 @@
     REQUEST_ID,
     WAIT_TIMEOUT,
     GatewayHarness,
+    RespConnection,
     harness_with_server,
     host_list,
     next_item,
@@ -18,12 +21,14 @@
     raw_settings,
     run_on_uvloop,
 )
+from term_judge import CLIENT_CLOSE_DELAY, TIMING_SLACK
 
 from thymehinge import interface as api
 from thymehinge.decisions import QuotaCodec
 from thymehinge.net import client_connection
 from thymehinge.net.client_connection import Phase
 
+MAX_BLOCKED_TURNS = 100  # event loop turns without progress after which a client stops sending
 OTHER_REQUEST_ID = REQUEST_ID[::-1]
 
 
@@ -152,3 +157,47 @@
         assert not any(p.waiting or p.connecting for p in harness.driver.servers.pools.values())
 
     run_on_uvloop(test())
+
+
+def request_of_one_customer(number: int) -> bytes:
+    name = b"%016x" % number
+    return hiredis.pack_command((b"API.READ", b"%016x" % 7, name, b"c=lookup,t=village,d=5000"))
+
+
+@pytest.mark.parametrize("request_count", [1_000, 3_000, 20_000, 60_000])
+def test_no_attempt_starts_after_close_behind_unread_requests(request_count):
+    """Guards against sending requests that wait for tokens while their client's close is not read yet."""
+
+    async def test() -> None:
+        harness = GatewayHarness()
+        received_at = []
+
+        async def record_attempts(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await RespConnection(reader, writer).read():
+                received_at.append(time.monotonic())
+
+        listener = await asyncio.start_server(record_attempts, HOST, 0)
+        address = "{}:{}".format(*listener.sockets[0].getsockname())
+        harness.driver.on_list(host_list(**{f"s{number}": address for number in range(12)}))
+        client = await harness.connect_raw_client(b"")
+        data = b"".join(request_of_one_customer(number) for number in range(request_count))
+        sent = blocked_turns = 0
+        client.setblocking(False)
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while sent < len(data) and blocked_turns < MAX_BLOCKED_TURNS:
+                try:
+                    sent += client.send(data[sent:])
+                    blocked_turns = 0
+                except BlockingIOError:  # the kernel's buffers are full
+                    blocked_turns += 1
+                await asyncio.sleep(0)
+        client.close()
+        closed_at = time.monotonic()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(1.5):  # further tokens come after 0.5 and 1 s
+                await harness.wait_for_event(api.ClientGone)
+                while harness.driver.exchanges:
+                    await asyncio.sleep(0.01)
+        assert not [at for at in received_at if at > closed_at + CLIENT_CLOSE_DELAY + TIMING_SLACK]
+
+    run_on_uvloop(test())
