Keep a request's id until its attempts have ended, and unsafe ones for a minute after that

Cause: an id was registered until the reply or the client's end and then forgotten, although a cancelled attempt may have run, or may still be out where attempts may not be cancelled.

An id is now open until the request has its answer and no attempt is in flight (net/request_ids.py). After that, the id of an unsafe or keyed request that may have run is kept for the longest timeout that a client may set (60 s or more), at most 65,536 of them; a request with such an id gets an error. By protocol each request has a new id, a retry included, so no client that keeps to it is affected; ids of refused requests and safe ones may still come again. A gateway knows only the ids that it has received itself.

Clients' own methods for ids moved into the new module.

--- a/tests/test_arrival_times.py
+++ b/tests/test_arrival_times.py
@@ -185,7 +185,9 @@
         client = await harness.connect_client()
         client.write(pack_request(fields=b"c=lookup,t=village,d=" + timeout_ms))
         assert str(await client.read()).startswith("BUSY")
-        assert connections.empty() and not harness.driver.exchanges and not harness.driver.clients.pending_ids
+        assert (
+            connections.empty() and not harness.driver.exchanges and not harness.driver.clients.ids.open_ids
+        )
         assert harness.events.empty() or not isinstance(harness.events.get_nowait(), api.Request)
 
     run_on_uvloop(test())
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -38,7 +38,7 @@
     assert (
         not harness.driver.exchanges
         and not harness.driver.gateway.jobs
-        and not harness.driver.clients.pending_ids
+        and not harness.driver.clients.ids.open_ids
     )
     harness.driver.servers.pools["s1"].close()
     assert await server.wait_closed()
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -19,6 +19,7 @@
 )
 
 from thymehinge import interface as api
+from thymehinge.net import request_ids
 
 KEYED_FIELDS = b"c=order,t=village,d=5000,k=5c0f"
 UNSAFE_FIELDS = b"c=once,t=village,d=5000"
@@ -128,3 +129,21 @@
         assert connections.empty()
 
     run_on_uvloop(test())
+
+
+def test_ids_of_ended_requests_are_kept_for_a_time_and_bounded(monkeypatch):
+    """Guards the memory limit, and that an id is kept for as long as any request may run."""
+    monkeypatch.setattr(request_ids, "MAX_ENDED_IDS", 3)
+
+    async def test() -> None:
+        harness, _ = await start_harness()
+        ids, clock = harness.driver.clients.ids, harness.driver.clock
+        for number in range(5):
+            ids.keep(b"%d" % number)
+        assert list(ids.ended_ids) == [b"2", b"3", b"4"]
+        assert ids.ended_ids[b"4"] >= clock() + harness.driver.gateway.settings.longest_timeout
+        harness.clock_offset += 1000.0
+        ids.keep(b"5")
+        assert list(ids.ended_ids) == [b"5"]
+
+    run_on_uvloop(test())
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -160,7 +160,7 @@
             self.hold(-exchange.held_bytes)
             if isinstance(exchange, Exchange) and not exchange.done:
                 exchange.done = True
-                self.clients.unregister_request(exchange)
+                self.clients.ids.release(exchange)
                 self.clients.on_client_gone(exchange)
 
     def abort_if_client_closed(self) -> None:
@@ -340,14 +340,14 @@
         """Pass on a request; it is refused if there is no memory for it, and rejected if it is invalid."""
         try:
             exchange = Exchange(arguments, self.clients.accepted_values)
-            self.clients.check_unregistered(exchange)
+            self.clients.ids.check(exchange)
         except CommandError as error:
             return self.reject_command(str(error))
         self.clients.awaiting_first_request.pop(self, None)
         request_bytes = REQUEST_OVERHEAD_BYTES + sum(map(len, arguments))
         if not self.clients.memory.admits(self.held_bytes + request_bytes):
             return self.queue_reply(BUSY_REPLY)
-        self.clients.register_request(exchange)
+        self.clients.ids.register(exchange)
         exchange.connection = self
         self.hold_exchange(exchange, request_bytes)
         exchange.received_at = self.arrival_times.time_of(
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -11,8 +11,9 @@
 from thymehinge.net.arrivals import seconds_since_last_data, unread_bytes
 from thymehinge.net.client_connection import ANSWER_GRACE, READ_BUFFER_BYTES, ClientConnection
 from thymehinge.net.client_memory import ClientMemory
-from thymehinge.net.exchange import AcceptedValues, CommandError, Exchange
+from thymehinge.net.exchange import AcceptedValues, Exchange
 from thymehinge.net.fair_queue import FairQueue
+from thymehinge.net.request_ids import RequestIds
 
 MIN_SLOW_READER_TIMEOUT = 30.0  # seconds for which a client may always leave replies unread
 FIRST_REQUEST_TIMEOUT = 2.0  # seconds from connecting to the first request
@@ -68,24 +69,7 @@
         self.read_paused: set[ClientConnection] = set()
         self.queue, self.queue_scheduled = FairQueue(), False  # connections with data to process
         self.backlog_since: float | None = None  # since when connections may be waiting to be accepted
-        self.pending_ids: set[bytes] = set()  # of the requests without a reply
-
-    # Requests.
-
-    def check_unregistered(self, exchange: Exchange) -> None:
-        """Raise CommandError if a pending request has the same id.
-
-        Table servers deduplicate by id: one of two requests would be dropped or get the other's answer.
-        """
-        if exchange.wire_id in self.pending_ids:
-            raise CommandError("a request with this id is open")
-
-    def register_request(self, exchange: Exchange) -> None:
-        """Register the id that the client chose until `unregister_request`."""
-        self.pending_ids.add(exchange.wire_id)
-
-    def unregister_request(self, exchange: Exchange) -> None:
-        self.pending_ids.discard(exchange.wire_id)
+        self.ids = RequestIds(self.accepted_values.max_timeout, clock)
 
     # Processor time.
 
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -279,8 +279,9 @@
 
     def remove_if_finished(self, exchange: Exchange | None) -> None:
         """Remove a request that is answered and has no attempts in flight."""
-        if exchange is not None and exchange.done and not any(a.in_flight for a in exchange.attempts):
+        if exchange is not None and exchange.is_finished():
             self.exchanges.pop(exchange.request_id, None)
+            self.clients.ids.release(exchange)
 
     def on_deadline(self, request_id: int) -> None:
         """Time out the attempts of a request at its deadline, and answer it if it is still unanswered."""
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -95,6 +95,7 @@
         "first_gateway",
         "held_bytes",
         "is_retry",
+        "is_safe",
         "plan_name",
         "received_at",
         "reply",
@@ -127,6 +128,7 @@
         if request_class is None or plan_name is None:
             raise CommandError("unknown class or plan")
         (self.class_name, command_name, needs_key), self.plan_name = request_class, plan_name
+        self.is_safe = command_name == READ_COMMAND  # whether it may run any number of times
         if arguments[0] != command_name:
             raise CommandError(f"class {self.class_name} has another command")
         if needs_key != (b"k" in fields) or not IDEMPOTENCY_KEY.fullmatch(fields.get(b"k", b"-")):
@@ -168,11 +170,19 @@
             self.connection.abort_if_client_closed()
         return self.done
 
+    def is_finished(self) -> bool:
+        """Return whether the request is answered, or its client gone, and no attempt is in flight."""
+        return self.done and not any(attempt.in_flight for attempt in self.attempts)
+
+    def may_have_run(self) -> bool:
+        """Return whether the request may have been executed by an attempt that has ended."""
+        return any(attempt.result is not None and not attempt.result.never_ran for attempt in self.attempts)
+
     def answer(self, reply: bytes) -> None:
         """Set the reply, unless there is one already, and write it once all earlier ones are written."""
         if not self.done:
             self.done, self.reply = True, reply
-            self.connection.clients.unregister_request(self)
+            self.connection.clients.ids.release(self)
             self.arguments = ()  # no attempt starts after the reply, which may wait for earlier ones
             self.connection.hold_exchange(self, REQUEST_OVERHEAD_BYTES + len(reply))
             self.connection.flush()
--- a/thymehinge/net/server_connection.py
+++ b/thymehinge/net/server_connection.py
@@ -46,6 +46,7 @@
         "in_flight",
         "index",
         "pool",
+        "result",
         "server",
         "start_deadline",
         "started_at",
@@ -69,6 +70,7 @@
         )
         self.pool: Pool | None = None
         self.connection: ServerConnection | None = None
+        self.result: Result | None = None  # None while in flight
 
 
 class ServerConnection(asyncio.Protocol):
--- a/thymehinge/net/servers.py
+++ b/thymehinge/net/servers.py
@@ -243,7 +243,7 @@
     ) -> None:
         """Report an attempt's outcome, unless it has been reported."""
         if attempt.in_flight:
-            attempt.in_flight, attempt.connection = False, None
+            attempt.in_flight, attempt.connection, attempt.result = False, None, result
             self.on_outcome(attempt, result, load_report, value)
 
     def ensure_capacity(self, pool: Pool) -> bool:
