Read ahead as far as memory allows, and refuse what would hide a client's close

Cause: a client's end comes behind all its data. While commands wait, reading stopped after a bounded part, so neither the event loop nor the kernel's state showed the close, and requests that waited for tokens were sent up to 1.05 s after it, where 0.1 s is allowed.

While commands wait, data is now read as far as half of the memory for clients allows, each connection as much as is left for all others. Where that is not enough, a request of the connection is refused, since its client may be gone: at once when it is read, and before an attempt when it has waited. The parser keeps data in pieces so that reading ahead does not copy it again with each read. A client that sends more than fits is thus refused instead of served ahead of others.

--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -31,7 +31,7 @@
 
 from thymehinge.net.arrivals import ArrivalTimes, seconds_since_last_data, unread_bytes
 from thymehinge.net.client_memory import REQUEST_OVERHEAD_BYTES
-from thymehinge.net.exchange import READ_COMMAND, WRITE_COMMAND, CommandError, Exchange
+from thymehinge.net.exchange import BUSY_REPLY, READ_COMMAND, WRITE_COMMAND, CommandError, Exchange
 from thymehinge.net.resp import CommandParser, ProtocolError
 
 if TYPE_CHECKING:
@@ -39,15 +39,11 @@
 
 MAX_PIPELINED_COMMANDS = 256  # pending commands of one connection at which reading pauses
 READ_BUFFER_BYTES = 32 * 1024  # read at once
-# Unparsed data up to which reading goes on while commands wait, so that the end of the stream is noticed.
-READ_AHEAD_BYTES = 128 * 1024
 MAX_INVALID_COMMANDS = 8  # on a connection before it is closed
 MIN_LINGER_TIMEOUT = 1.0  # seconds; a client always has this long after the close to read its last replies
 ANSWER_GRACE = 0.5  # seconds after its deadline for which a reply still counts as on time, by protocol
 # Linux TCP states after the remote end has closed: TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING
 CLIENT_CLOSED_TCP_STATES = frozenset((6, 7, 8, 9, 11))
-FAILED_REPLY = b"-ERR failed\r\n"
-BUSY_REPLY = b"-BUSY\r\n"
 PONG_REPLY = b"+PONG\r\n"
 OK_REPLY = b"+OK\r\n"
 
@@ -214,10 +210,13 @@
         return self.slow_reader or self.pipeline_full
 
     def update_reading(self) -> None:
-        """Pause reading while enough unprocessed data has been read, else resume it."""
+        """Pause reading while the client is slow to read, or there is no memory for data that has to wait.
+
+        Otherwise reading goes on while commands wait, so that the client's close is noticed.
+        """
         if self.phase is not Phase.OPEN:
             return
-        if self.slow_reader or (self.has_waiting_commands() and self.has_read_ahead()):
+        if self.slow_reader or (self.has_waiting_commands() and not self.may_read_ahead()):
             self.pause_reading()
         else:
             self.resume_reading()
@@ -226,9 +225,18 @@
         """Return whether commands that have been read are not processed yet."""
         return self.queued or self.pipeline_full
 
-    def has_read_ahead(self) -> bool:
-        """Return whether no more data is to be read before commands that wait have been processed."""
-        return self.unparsed_bytes >= READ_AHEAD_BYTES or not self.clients.memory.allows_read_ahead()
+    def may_read_ahead(self) -> bool:
+        """Return whether more data may be read although commands that were read before wait."""
+        return self.clients.memory.allows_read_ahead(self.unparsed_bytes)
+
+    def hides_close(self) -> bool:
+        """Return whether the client may have closed without notice, behind data that is left unread."""
+        return (
+            self.phase is Phase.OPEN
+            and not self.slow_reader
+            and self in self.clients.read_paused
+            and unread_bytes(self.sock) > 0
+        )
 
     def resume_reading(self) -> None:
         """Resume reading if it is paused."""
@@ -345,7 +353,7 @@
             return self.reject_command(str(error))
         self.clients.awaiting_first_request.pop(self, None)
         request_bytes = REQUEST_OVERHEAD_BYTES + sum(map(len, arguments))
-        if not self.clients.memory.admits(self.held_bytes + request_bytes):
+        if not self.fits_into_memory(request_bytes):
             return self.queue_reply(BUSY_REPLY)
         self.clients.ids.register(exchange)
         exchange.connection = self
@@ -357,6 +365,14 @@
         self.clients.idle.pop(self, None)
         return self.clients.on_request(exchange)
 
+    def fits_into_memory(self, request_bytes: int) -> bool:
+        """Return whether there is memory for a request, and for the data that has arrived behind it."""
+        memory = self.clients.memory
+        if self.hides_close():
+            memory.refused_requests += 1
+            return False
+        return memory.admits(self.held_bytes + request_bytes)
+
     def reject_command(self, reason: str) -> None:
         """Reply with an error; close the connection after MAX_INVALID_COMMANDS of them."""
         self.queue_reply(b"-ERR %b\r\n" % reason.encode())
--- a/thymehinge/net/client_memory.py
+++ b/thymehinge/net/client_memory.py
@@ -68,9 +68,12 @@
         self.refused_requests += 1
         return False
 
-    def allows_read_ahead(self) -> bool:
-        """Return whether there is memory for data that is read before it can be processed."""
-        return self.held_bytes < READ_AHEAD_FRACTION * self.limit_bytes
+    def allows_read_ahead(self, size: int) -> bool:
+        """Return whether a connection with this much unparsed data may read more before it can process it.
+
+        The size is compared with what is free for all connections, as in `admits`.
+        """
+        return size < READ_AHEAD_FRACTION * self.limit_bytes - self.held_bytes
 
     def report(self, connections: Iterable[ClientConnection], now: float) -> None:
         """Log refused requests and what the connections hold, at most once in REPORT_INTERVAL."""
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -13,11 +13,10 @@
 from thymehinge import interface as api
 from thymehinge.decisions import Gateway
 from thymehinge.interface import Result
-from thymehinge.net.client_connection import BUSY_REPLY, FAILED_REPLY
 from thymehinge.net.clients import Clients
 from thymehinge.net.config import Config
 from thymehinge.net.discovery import HostList
-from thymehinge.net.exchange import Exchange
+from thymehinge.net.exchange import BUSY_REPLY, FAILED_REPLY, Exchange
 from thymehinge.net.peers import PeerSocket
 from thymehinge.net.server_connection import Attempt
 from thymehinge.net.servers import Servers
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -21,6 +21,8 @@
 CUSTOMER_ID_END = 2**33  # valid ids are below this
 READ_COMMAND = b"API.READ"
 WRITE_COMMAND = b"API.WRITE"
+FAILED_REPLY = b"-ERR failed\r\n"
+BUSY_REPLY = b"-BUSY\r\n"
 
 
 class CommandError(Exception):
@@ -164,12 +166,19 @@
     def is_over(self) -> bool:
         """Return whether no further attempt may be sent: the request is answered, or its client has closed.
 
-        Abort the connection if its client has closed.
+        Abort the connection if its client has closed. Drop the request if a close could not be noticed.
         """
         if not self.done:
             self.connection.abort_if_client_closed()
+        if not self.done and self.connection.hides_close():
+            self.drop()
         return self.done
 
+    def drop(self) -> None:
+        """Refuse the request, or fail it if it may have run, and have the decision module drop it."""
+        self.answer(FAILED_REPLY if self.may_have_run() else BUSY_REPLY)
+        self.connection.clients.on_client_gone(self)
+
     def is_finished(self) -> bool:
         """Return whether the request is answered, or its client gone, and no attempt is in flight."""
         return self.done and not any(attempt.in_flight for attempt in self.attempts)
--- a/thymehinge/net/resp.py
+++ b/thymehinge/net/resp.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import re
+from collections import deque
 
 MAX_VALUE_BYTES = 64 * 1024  # of a value in a command, by protocol
 MAX_ANSWER_VALUE_BYTES = 2 * 1024 * 1024  # of a value in an answer: servers send several hundred thousand
 MAX_PARTIAL_COMMAND_BYTES = 2 * MAX_VALUE_BYTES  # of a command whose end has not arrived
+MAX_PIECE_BYTES = 16 * 1024  # up to which pieces of data are joined as they arrive
 MAX_ARGUMENTS = 64  # of a command, including its name; enough to tell a client what is wrong with it
 MAX_LINE_BYTES = 1024  # of an error line
 MAX_ELEMENTS = 16  # of an array nested in an answer
@@ -107,28 +109,57 @@
 
 
 class CommandParser:
-    """Incremental parser that splits a client's stream into commands."""
+    """Incremental parser that splits a client's stream into commands.
 
-    __slots__ = ("buffer", "needed_bytes", "offset")
+    Data behind the buffer is kept in pieces and added when a command needs it, so that each byte is copied a
+    few times at most, however much is fed at once or in however small pieces.
+    """
+
+    __slots__ = ("buffer", "needed_bytes", "offset", "pieces", "pieces_bytes")
 
     def __init__(self) -> None:
         self.buffer, self.offset = b"", 0
+        self.pieces: deque[bytes] = deque()
+        self.pieces_bytes = 0  # their sum
         self.needed_bytes = 0  # after the offset; with fewer, the next command is known to be incomplete
 
     def feed(self, data: bytes) -> None:
-        self.buffer = self.buffer[self.offset :] + data if self.offset < len(self.buffer) else data
-        self.offset = 0
+        if self.pieces and len(self.pieces[-1]) + len(data) <= MAX_PIECE_BYTES:
+            self.pieces[-1] += data
+        else:
+            self.pieces.append(data)
+        self.pieces_bytes += len(data)
 
     def discard(self) -> None:
-        """Discard all buffered data."""
+        """Discard all data."""
         self.buffer, self.offset, self.needed_bytes = b"", 0, 0
+        self.pieces.clear()
+        self.pieces_bytes = 0
 
     def next_command(self) -> list[bytes] | None:
         """Return the name and arguments of the next command, or None if it is incomplete.
 
         Raises ProtocolError if the data is not a command; the rest of the stream cannot be parsed then.
         """
-        if len(self.buffer) - self.offset < self.needed_bytes:
+        while (arguments := self.parse_buffer()) is None:
+            if self.unparsed_bytes() < self.needed_bytes or not self.pieces:
+                return None
+            self.add_pieces()
+        return arguments
+
+    def add_pieces(self) -> None:
+        """Add the next piece to the buffer, and others until the bytes known to be needed are there."""
+        added = [self.buffer[self.offset :]]
+        size = len(added[0])
+        while self.pieces and (len(added) == 1 or size < self.needed_bytes):
+            added.append(self.pieces.popleft())
+            size += len(added[-1])
+            self.pieces_bytes -= len(added[-1])
+        self.buffer, self.offset = b"".join(added), 0
+
+    def parse_buffer(self) -> list[bytes] | None:
+        """Return the next command if the buffer contains it; raises ProtocolError like `next_command`."""
+        if len(self.buffer) - self.offset < max(1, self.needed_bytes):
             return None
         data, arguments = self.buffer, []
         try:
@@ -154,12 +185,12 @@
 
     def has_unparsed(self) -> bool:
         """Return whether data is buffered that has not been returned as a command."""
-        return self.offset < len(self.buffer)
+        return self.offset < len(self.buffer) or bool(self.pieces)
 
     def buffered_bytes(self) -> int:
-        """Return the size of the buffer, which may include commands that have been returned."""
-        return len(self.buffer)
+        """Return the size of all data, which may include commands that have been returned."""
+        return len(self.buffer) + self.pieces_bytes
 
     def unparsed_bytes(self) -> int:
         """Return the number of buffered bytes that have not been returned as a command."""
-        return len(self.buffer) - self.offset
+        return len(self.buffer) - self.offset + self.pieces_bytes
