--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -42,6 +42,8 @@
 SOCKETS = 1024
 SEND_BYTES = 64 * 1024  # written at once by a hostile sender
 HOSTILE_CUSTOMERS_FROM = 2**20  # usual customers are below
+LONG_BODY_BYTES = 64_000
+SLOW_WRITE_PAUSE = 0.3  # seconds between two bytes of a client that writes slowly
 TIMEOUT_MS = 60_000  # of a hostile request, the longest that is accepted
 
 hostile_numbers = count(HOSTILE_CUSTOMERS_FROM)
@@ -100,7 +102,48 @@
         yield rng.choice(lines)
 
 
+def long_request() -> bytes:
+    """Encode a valid request with a long body, a new id and a new customer."""
+    name = b"%016x" % next(hostile_numbers)
+    return hiredis.pack_command(
+        (
+            b"API.WRITE",
+            name,
+            name,
+            b"c=order,t=village,d=%d,k=%b" % (TIMEOUT_MS, name),
+            b"m" * LONG_BODY_BYTES,
+        )
+    )
+
+
+def half_requests(rng: random.Random) -> Iterator[bytes]:
+    """Yield most of a long request, then a byte at a time, slowly."""
+    request = long_request()
+    yield request[: -LONG_BODY_BYTES // 10]
+    for byte in request[-LONG_BODY_BYTES // 10 :]:
+        time.sleep(SLOW_WRITE_PAUSE)
+        yield bytes((byte,))
+
+
+def long_requests(rng: random.Random) -> Iterator[bytes]:
+    """Yield long requests."""
+    while True:
+        yield long_request()
+
+
+def short_fields(rng: random.Random) -> Iterator[bytes]:
+    """Yield requests whose field text, or whose list of arguments, is long and made of short parts."""
+    name = b"%016x" % next(hostile_numbers)
+    many_fields = hiredis.pack_command((b"API.READ", name, name, b"c=lookup,t=village" + b",d=1" * 16_000))
+    many_arguments = hiredis.pack_command((b"API.READ", *[b"x"] * 63))
+    while True:
+        yield rng.choice((many_fields, many_arguments * 200))
+
+
 BEHAVIOURS = {
+    "half requests": half_requests,
+    "long requests": long_requests,
+    "short fields": short_fields,
     "ping": repeated(hiredis.pack_command(("PING",))),
     "select": repeated(hiredis.pack_command(("SELECT", "0"))),
     "unsound": unsound,
@@ -120,7 +163,6 @@
     With `leave`, the sender closes after each block with a reset and connects anew.
     """
     rng = random.Random(seed)
-    blocks = BEHAVIOURS[behaviour](rng)
     while not ended.is_set():
         with suppress(OSError), socket.create_connection(address) as sock:
             sock.settimeout(1.0)
@@ -129,7 +171,7 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             else:
                 reader.start()
-            for block in blocks:
+            for block in BEHAVIOURS[behaviour](rng):
                 sock.sendall(block)
                 if leave or ended.is_set():
                     break
