Parse and apply a long list of table servers in slices

Cause: a list is parsed and applied in one turn of the event loop, whatever its length.

Entries are parsed and applied 256 at a time, and the event loop runs in between. A list that has begun is finished before the next one, and at once if its call is cancelled, so that a drain in it is not lost. The first list is still applied whole: limits are derived from its size.

--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -41,8 +41,7 @@
             for n in range(SERVER_COUNT)
         ]
         agent = FakeDiscovery(entries)
-        apply = getattr(harness.driver, "apply_list", harness.driver.on_list)
-        discovery = Discovery(apply, 2**27)
+        discovery = Discovery(harness.driver.apply_list, 2**27)
         discovery.set_address(await agent.listen())
         servers = harness.driver.gateway.fleet.servers
         async with asyncio.timeout(WAIT_TIMEOUT):
@@ -65,7 +64,7 @@
         harness = GatewayHarness()
         harness.driver.on_list(host_list(s0="127.0.0.1:1"))
         agent = FakeDiscovery([{**SERVER_ENTRY, "host": f"s{n}"} for n in range(SERVER_COUNT)])
-        discovery = Discovery(getattr(harness.driver, "apply_list", harness.driver.on_list), 2**27)
+        discovery = Discovery(harness.driver.apply_list, 2**27)
         discovery.set_address(await agent.listen())
         servers = harness.driver.gateway.fleet.servers
         async with asyncio.timeout(WAIT_TIMEOUT):
--- a/thymehinge/__main__.py
+++ b/thymehinge/__main__.py
@@ -92,7 +92,7 @@
         """Serve until SIGTERM or SIGINT, then drain."""
         loop, stop = asyncio.get_running_loop(), asyncio.Event()
         driver = Driver(config, monotonic_unix_clock())
-        discovery = Discovery(driver.on_list, config.memory_bytes)
+        discovery = Discovery(driver.apply_list, config.memory_bytes)
         await open_sockets(driver, config)
         self.serving = True
         loop.add_signal_handler(signal.SIGTERM, stop.set)
--- a/thymehinge/net/discovery.py
+++ b/thymehinge/net/discovery.py
@@ -6,7 +6,7 @@
 import json
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any
@@ -14,6 +14,7 @@
 from thymehinge import interface as api
 from thymehinge.net.call_schedule import CALL_TIMEOUT, MAX_CALLS, CallSchedule
 from thymehinge.net.http import HttpClient
+from thymehinge.net.slices import SLICE_ENTRIES, run_in_slices
 
 MAX_PREVIOUS_CALLS = 3  # to addresses before the current one, without an answer at the same time
 PREVIOUS_ADDRESS_TIMEOUT = 2.0  # seconds; by protocol a previous address closes its connections after 1.5
@@ -41,24 +42,58 @@
     entry_errors: tuple[str, ...] = ()  # one message for each invalid entry, which is left out
 
 
+class HostListParser:
+    """Parses a decoded response, a slice of its entries at a time; invalid entries are left out.
+
+    Raises ValueError if the response is not a list.
+    """
+
+    def __init__(self, raw: Any) -> None:
+        if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
+            raise ValueError("server list: not an object with a list of hosts")
+        version = raw.get("seq")
+        if not isinstance(version, int) or isinstance(version, bool):
+            raise ValueError(f"server list: invalid seq {version!r}")
+        self.version, self.is_snapshot, self.entries = version, bool(raw.get("whole")), raw["hosts"]
+        self.parsed_count = 0  # entries
+        self.servers: list[api.Server] = []
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.entry_errors: list[str] = []
+
+    def parse_slice(self, size: int) -> bool:
+        """Parse the next entries, `size` at most; return whether there are more."""
+        for entry in self.entries[self.parsed_count : self.parsed_count + size]:
+            try:
+                server, address = parse_host(entry)
+            except ValueError as error:
+                self.entry_errors.append(str(error))
+                continue
+            self.servers.append(server)
+            if address is not None:
+                self.addresses[server.name] = address
+        self.parsed_count += size
+        return self.parsed_count < len(self.entries)
+
+    def result(self) -> HostList:
+        """Return the list of the entries that have been parsed."""
+        return HostList(
+            self.version, self.is_snapshot, tuple(self.servers), self.addresses, tuple(self.entry_errors)
+        )
+
+
 def parse_host_list(raw: Any) -> HostList:
-    """Parse a decoded response; raises ValueError if it is not a list. Invalid entries are left out."""
-    if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
-        raise ValueError("server list: not an object with a list of hosts")
-    version = raw.get("seq")
-    if not isinstance(version, int) or isinstance(version, bool):
-        raise ValueError(f"server list: invalid seq {version!r}")
-    servers, addresses, entry_errors = [], {}, []
-    for entry in raw["hosts"]:
-        try:
-            server, address = parse_host(entry)
-        except ValueError as error:
-            entry_errors.append(str(error))
-            continue
-        servers.append(server)
-        if address is not None:
-            addresses[server.name] = address
-    return HostList(version, bool(raw.get("whole")), tuple(servers), addresses, tuple(entry_errors))
+    """Parse a decoded response at once, see HostListParser."""
+    parser = HostListParser(raw)
+    parser.parse_slice(len(parser.entries))
+    return parser.result()
+
+
+async def parse_host_list_in_slices(raw: Any) -> HostList:
+    """Parse a decoded response in slices, between which the event loop runs."""
+    parser = HostListParser(raw)
+    while parser.parse_slice(SLICE_ENTRIES):
+        await asyncio.sleep(0)
+    return parser.result()
 
 
 def parse_host(entry: Any) -> tuple[api.Server, tuple[str, int] | None]:
@@ -90,6 +125,10 @@
     return server, address
 
 
+# Called with a list; may return the steps in which it is to be applied.
+ListCallback = Callable[[HostList], Iterable[None] | None]
+
+
 class StaleListError(Exception):
     """A new discovery address gave an older list than the address before it."""
 
@@ -104,7 +143,7 @@
     `memory_bytes` is the memory limit of this process; it bounds the size of a response.
     """
 
-    def __init__(self, on_list: Callable[[HostList], None], memory_bytes: int) -> None:
+    def __init__(self, on_list: ListCallback, memory_bytes: int) -> None:
         self.on_list, self.max_body_bytes, self.address = (
             on_list,
             int(memory_bytes * BODY_MEMORY_FRACTION),
@@ -137,21 +176,22 @@
         """Pass on the list of a call to a previous address if it comes within PREVIOUS_ADDRESS_TIMEOUT."""
         try:
             async with asyncio.timeout(PREVIOUS_ADDRESS_TIMEOUT):
-                self.on_previous_list(parse_host_list(await call.task))
+                hosts = await call.task
+            await run_in_slices(self.on_previous_list(hosts))
         except Exception as error:  # any error: the current address is called anyway
             log.info("discovery: previous address: %s: %s", type(error).__name__, str(error)[:200])
         finally:
             call.cancel()
 
-    def on_previous_list(self, hosts: HostList) -> None:
+    def on_previous_list(self, hosts: HostList) -> Iterable[None] | None:
         """Pass on a list of a previous address if it is newer than the latest one."""
         if self.version is not None and hosts.version <= self.version:
-            return
+            return None
         log.info("discovery: list %d comes from a previous address", hosts.version)
         self.version, self.previous_list_at = hosts.version, monotonic()
-        self.on_list(hosts)
+        return self.on_list(hosts)
 
-    def on_current_list(self, hosts: HostList) -> None:
+    def on_current_list(self, hosts: HostList) -> Iterable[None] | None:
         """Pass on a list of the current address.
 
         Raises StaleListError if a previous address has just given a newer list. Later, any version is passed
@@ -162,7 +202,7 @@
             raise StaleListError(f"version {hosts.version} after {self.version}")
         self.cancel_previous_calls()
         self.version = hosts.version
-        self.on_list(hosts)
+        return self.on_list(hosts)
 
     def cancel_previous_calls(self) -> None:
         for task in self.previous_calls:
@@ -174,7 +214,7 @@
             self.watcher.stop()
 
 
-async def watch_hosts(address: str, on_list: Callable[[HostList], None], max_body_bytes: int) -> None:
+async def watch_hosts(address: str, on_list: ListCallback, max_body_bytes: int) -> None:
     """Pass the lists from one address to `on_list` until cancelled."""
     watcher = HostWatcher(address, on_list, max_body_bytes)
     try:
@@ -207,7 +247,7 @@
     The first valid response counts, and the other calls are cancelled.
     """
 
-    def __init__(self, address: str, on_list: Callable[[HostList], None], max_body_bytes: int) -> None:
+    def __init__(self, address: str, on_list: ListCallback, max_body_bytes: int) -> None:
         self.address, self.on_list, self.max_body_bytes = address, on_list, max_body_bytes
         self.schedule = CallSchedule(monotonic())
         self.version: int | None = None  # of the latest list; None if a snapshot is needed
@@ -239,7 +279,7 @@
             )
             for call in [call for call in self.calls if call.task in done]:
                 if call in self.calls:
-                    self.finish_call(call)
+                    await self.finish_call(call)
 
     def start_call(self, now: float) -> None:
         """Start the next call: a watch, or a snapshot if another call is overdue or has failed.
@@ -258,7 +298,7 @@
         watch_timeout = self.schedule.start_call(now, self.version is not None, others_pending)
         self.calls.append(Call(client, self.version, watch_timeout, now))
 
-    def finish_call(self, call: Call) -> None:
+    async def finish_call(self, call: Call) -> None:
         """Pass on the list of a completed call, or schedule a snapshot if the call has failed.
 
         A list with invalid entries is passed on without them, and counts as a failure.
@@ -266,8 +306,8 @@
         self.calls.remove(call)
         now = monotonic()
         try:
-            hosts = parse_host_list(call.task.result())
-            self.on_list(hosts)
+            hosts = call.task.result()
+            await run_in_slices(self.on_list(hosts))
             if hosts.entry_errors:
                 raise ValueError(
                     f"{hosts.entry_errors[0]}; invalid entries left out: {len(hosts.entry_errors)}"
@@ -293,12 +333,13 @@
             self.idle_client.close()
 
 
-async def fetch_hosts(client: HttpClient, version: int | None, watch_timeout: float) -> Any:
-    """Make one call and decode the response: a watch from this version, or a snapshot if it is None.
+async def fetch_hosts(client: HttpClient, version: int | None, watch_timeout: float) -> HostList:
+    """Make one call and parse the response: a watch from this version, or a snapshot if it is None.
 
-    Raises the errors of `HttpClient.get`, and ValueError if the body is not JSON.
+    Raises the errors of `HttpClient.get`, and ValueError if the body is not a list in JSON.
     """
     target = "/discovery/hosts"
     if version is not None:
         target = f"{target}?since={version}&timeout_ms={round(watch_timeout * 1000)}"
-    return json.loads(await client.get(target, watch_timeout + CALL_TIMEOUT))
+    body = await client.get(target, watch_timeout + CALL_TIMEOUT)
+    return await parse_host_list_in_slices(json.loads(body))
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -8,7 +8,7 @@
 import math
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from thymehinge import interface as api
 from thymehinge.decisions import Gateway
@@ -20,6 +20,7 @@
 from thymehinge.net.peers import PeerSocket
 from thymehinge.net.server_connection import Attempt
 from thymehinge.net.servers import Servers
+from thymehinge.net.slices import SLICE_ENTRIES
 from thymehinge.net.start_times import StartTimes
 from thymehinge.timers import MIN_COMPACTED_SIZE, compact
 
@@ -73,6 +74,7 @@
         self.peers = PeerSocket(
             config.peers, config.broadcast_address, config.settings.gateway_index, self.on_peer
         )
+        self.list_steps: Iterator[None] = iter(())  # of the list that is being applied
         self.exchanges: dict[int, Exchange] = {}  # by request id, until their last attempt has ended
         self.events: deque[api.Event] = deque()
         # A heap, by time and sequence number; with the id of the request that a timer belongs to
@@ -154,14 +156,44 @@
         )
 
     def on_list(self, hosts: HostList, kind: api.ListKind | None = None) -> None:
-        """Handle a snapshot or delta from discovery.
+        """Handle a snapshot or delta from discovery at once."""
+        for _ in self.apply_list(hosts, kind):
+            pass
+
+    def apply_list(self, hosts: HostList, kind: api.ListKind | None = None) -> Iterator[None]:
+        """Return the steps in which a list is applied; the list before it is finished first."""
+        for _ in self.list_steps:
+            pass
+        if kind is None:
+            kind = api.ListKind.SNAPSHOT if hosts.is_snapshot else api.ListKind.DELTA
+        self.list_steps = self.apply_in_slices(hosts, kind)
+        return self.list_steps
+
+    def apply_in_slices(self, hosts: HostList, kind: api.ListKind) -> Iterator[None]:
+        """Apply a list, a long one as deltas of SLICE_ENTRIES; a snapshot then shows what has been removed.
 
-        Pools are closed only after the decision module has the list, so that it sends the attempts that
+        The first list is applied whole, since the decision module derives limits from its size.
+        """
+        received, servers = self.start_times.start_list(hosts.servers, kind), hosts.servers
+        if len(servers) <= SLICE_ENTRIES or not self.servers.pools:
+            return self.apply_servers(kind, hosts, self.start_times.resolve_part(servers, received))
+        resolved: list[api.Server] = []
+        for start in range(0, len(servers), SLICE_ENTRIES):
+            part = self.start_times.resolve_part(servers[start : start + SLICE_ENTRIES], received)
+            self.apply_servers(api.ListKind.DELTA, hosts, part)
+            resolved += part
+            yield
+        if kind is not api.ListKind.DELTA:
+            self.deliver(api.ServerList(kind, hosts.version, tuple(resolved)))
+            self.servers.remove(tuple(resolved), is_snapshot=True)
+        return None
+
+    def apply_servers(self, kind: api.ListKind, hosts: HostList, servers: tuple[api.Server, ...]) -> None:
+        """Apply servers of a list.
+
+        Pools are closed only after the decision module has the servers, so that it sends the attempts that
         waited in them to other servers.
         """
-        if kind is None:
-            kind = api.ListKind.SNAPSHOT if hosts.is_snapshot else api.ListKind.DELTA
-        servers = self.start_times.resolve(hosts.servers, kind)
         self.has_list = self.has_list or bool(servers) or kind is api.ListKind.SNAPSHOT
         self.servers.add(servers, hosts.addresses)
         self.deliver(api.ServerList(kind, hosts.version, servers))
--- a/thymehinge/net/start_times.py
+++ b/thymehinge/net/start_times.py
@@ -28,6 +28,13 @@
     local_time: float
 
 
+class ListTime(NamedTuple):
+    """When a list came, and the age in seconds above which a new start time in it is rejected, if any."""
+
+    now: float
+    max_age: float | None
+
+
 class StartTimes:
     """Converts start times from Unix time to the time of `clock`, all in seconds.
 
@@ -49,6 +56,10 @@
 
     def resolve(self, servers: Sequence[Server], kind: ListKind) -> tuple[Server, ...]:
         """Return the servers of a list with local start times; 0, for long ago, stays 0."""
+        return self.resolve_part(servers, self.start_list(servers, kind))
+
+    def start_list(self, servers: Sequence[Server], kind: ListKind) -> ListTime:
+        """Record that a list has come; its parts are resolved by `resolve_part`."""
         now, max_age = self.clock(), None
         if kind is not ListKind.CACHED:  # a cached list is older than this process
             if self.last_list_at is not None:
@@ -56,7 +67,11 @@
             self.last_list_at = now
         if kind is not ListKind.DELTA:
             self.delist(self.listed.keys() - {server.name for server in servers})
-        resolved = tuple(self.resolve_server(server, now, max_age) for server in servers)
+        return ListTime(now, max_age)
+
+    def resolve_part(self, servers: Sequence[Server], received: ListTime) -> tuple[Server, ...]:
+        """Return some servers of a list with local start times."""
+        resolved = tuple(self.resolve_server(server, received.now, received.max_age) for server in servers)
         self.delist({server.name for server in servers if server.state is LifecycleState.GONE})
         return resolved
 
