--- a/tests/test_quota_across_gateways.py
+++ b/tests/test_quota_across_gateways.py
@@ -305,3 +305,19 @@
     ]
     gateway.run(0.3)
     assert 1 <= count_sent(gateway, request_ids) <= 2
+
+
+def test_answer_for_another_customer_is_not_taken():
+    """Guards against an owner's answer to the process before this one, which used the same tag."""
+    gateway = CheckedGateway(make_settings(gateway_count=2))
+    gateway.deliver(server_list("s1", "s2"))
+    customer = customer_owned_by(gateway, 1)
+    other = customer_owned_by(gateway, 0)
+    request = gateway.request(customer=customer, spread=2)
+    tag = gateway.wrapped.jobs[request].tag
+    grant = QuotaCodec.pack_entry(QuotaCodec.GRANT, tag, other, 0, 1.0, 0.0, 1.0)
+    gateway.deliver(api.PeerMessage(1, QuotaCodec.encode(4.0, [grant])))
+    assert not gateway.attempts.get(request)
+    grant = QuotaCodec.pack_entry(QuotaCodec.GRANT, tag, customer, 0, 1.0, 0.0, 1.0)
+    gateway.deliver(api.PeerMessage(1, QuotaCodec.encode(4.0, [grant])))
+    assert gateway.attempts.get(request)
--- a/tests/test_server_answers.py
+++ b/tests/test_server_answers.py
@@ -6,7 +6,12 @@
 
 import pytest
 from netkit import (
+    CUSTOMER_ID,
+    REQUEST_ID,
+    WAIT_TIMEOUT,
+    GatewayHarness,
     harness_with_server,
+    host_list,
     next_item,
     pack_request,
     request_in_flight,
@@ -16,6 +21,7 @@
 
 from thymehinge import interface as api
 from thymehinge.interface import Result
+from thymehinge.net import resp, server_connection
 from thymehinge.net.resp import MAX_VALUE_BYTES
 
 
@@ -160,3 +166,59 @@
         assert await server.wait_closed()
 
     run_on_uvloop(test())
+
+
+def test_answer_in_small_pieces_is_parsed_a_few_times(monkeypatch):
+    """Guards processor time: an answer in pieces was parsed and copied anew with each of them."""
+    calls = []
+    parse_answer = resp.parse_answer
+
+    def counting_parse_answer(data: bytes) -> tuple:
+        calls.append(len(data))
+        return parse_answer(data)
+
+    for module in (resp, server_connection):
+        monkeypatch.setattr(module, "parse_answer", counting_parse_answer, raising=False)
+
+    async def test() -> None:
+        harness, connections = await harness_with_server()
+        client, _ = await request_in_flight(harness, connections)
+        (exchange,) = harness.driver.exchanges.values()
+        connection = exchange.attempts[0].connection
+        answer = success_reply(b"x" * 10**6)
+        for start in range(0, len(answer), 1000):
+            connection.data_received(answer[start : start + 1000])
+        assert await client.read() == b"x" * 10**6
+        assert len(calls) <= 10
+
+    run_on_uvloop(test())
+
+
+def held_bytes(connection: server_connection.ServerConnection) -> int:
+    return len(connection.buffer)
+
+
+def test_partial_answers_of_all_servers_are_bounded():
+    """Guards the memory limit against answers that keep coming on many connections."""
+
+    async def test() -> None:
+        harness = GatewayHarness(limits={"cores": 1.0, "memory_mb": 16, "sockets": 256})
+        address, connections = await harness.start_server()
+        harness.driver.on_list(host_list(**{f"s{number}": address for number in range(8)}))
+        client = await harness.connect_client()
+        servers = []
+        for number in range(8):
+            request_id = b"%016x" % number
+            client.write(pack_request().replace(REQUEST_ID, request_id).replace(CUSTOMER_ID, request_id))
+            servers.append(await next_item(connections))
+            await servers[-1].read()
+        attempts = [e.attempts[0] for e in harness.driver.exchanges.values()]
+        for server in servers:
+            server.write(success_reply(b"x" * 10**6)[:-10])
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while all(attempt.in_flight for attempt in attempts):
+                held = sum(held_bytes(attempt.connection) for attempt in attempts if attempt.in_flight)
+                assert held <= 4 * 2**20 + 2**18  # a quarter of the memory limit and one read
+                await asyncio.sleep(0)
+
+    run_on_uvloop(test())
