Match an answer to a quota request by its customer as well as its tag

The test showed a grant for another customer that sent a request. An answer whose customer differs from the waiting request's is now treated as one that nobody waits for, so that granted units go back to the owner.

--- a/thymehinge/decisions.py
+++ b/thymehinge/decisions.py
@@ -1127,6 +1127,9 @@
     def on_quota_entry(self, now: float, sender: int, entry: QuotaEntry) -> None:
         """Process a peer's quota request, an owner's answer, or a report of units used or returned."""
         kind, tag, key, plan_index, units, wait, fill = entry
+        job = self.waiting.get(tag)
+        if job is not None and job.quota.key != key:  # an answer to an earlier process with the same tag
+            job = None
         if kind == QuotaCodec.REQUEST and plan_index < len(self.settings.plans) and units >= 0:
             previous = self.quota_answers.get((sender, tag))  # of another customer where a peer has restarted
             if previous is not None and previous[2].key == key and previous[3] > now:
@@ -1156,12 +1159,10 @@
                 quota.slots.acquire(
                     now, (sender, tag), SLOT_LEASE_LATENCIES * self.fleet.typical_latency * max(1.0, units)
                 )
-        elif (
-            kind == QuotaCodec.QUEUED and (job := self.waiting.get(tag)) is not None and job.stage == "quota"
-        ):
+        elif kind == QuotaCodec.QUEUED and job is not None and job.stage == "quota":
             self.wait_for_slot(now, job)
         elif kind in (QuotaCodec.GRANT, QuotaCodec.GRANT_OVERAGE, QuotaCodec.DENY) and key in self.quotas:
-            quota, job = self.quotas[key], self.waiting.get(tag)
+            quota = self.quotas[key]
             quota.owner_fill = fill
             if kind == QuotaCodec.DENY and quota.plan.rate > 0:
                 quota.owner_credit = units / quota.plan.rate - wait - now
