Admit from each peer only as many datagrams as a gateway takes in by the settings

Each sender now has a token bucket of that rate and a second's burst; what is over is dropped, like any datagram may be, and other senders are heard.

--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -18,6 +18,7 @@
 from thymehinge.net.discovery import HostList
 from thymehinge.net.exchange import BUSY_REPLY, FAILED_REPLY, Exchange
 from thymehinge.net.peers import PeerSocket
+from thymehinge.net.rate_limit import SenderLimit
 from thymehinge.net.server_connection import Attempt
 from thymehinge.net.servers import Servers
 from thymehinge.net.slices import SLICE_ENTRIES
@@ -74,6 +75,7 @@
         self.peers = PeerSocket(
             config.peers, config.broadcast_address, config.settings.gateway_index, self.on_peer
         )
+        self.peer_limit = SenderLimit(config.settings.peer_messages_per_s)
         self.list_steps: Iterator[None] = iter(())  # of the list that is being applied
         self.exchanges: dict[int, Exchange] = {}  # by request id, until their last attempt has ended
         self.events: deque[api.Event] = deque()
@@ -200,7 +202,9 @@
         self.servers.remove(servers, kind is not api.ListKind.DELTA)
 
     def on_peer(self, sender: int, body: bytes) -> None:
-        self.deliver(api.PeerMessage(sender, body))
+        """Pass on a peer's message, unless the peer sends more than a gateway takes in by the settings."""
+        if self.peer_limit.admits(sender, self.clock()):
+            self.deliver(api.PeerMessage(sender, body))
 
     def deliver(self, event: api.Event) -> None:
         """Dispatch an event; events that its actions cause are dispatched after it, in order."""
