Parse a server's answer once it is complete, and bound partial answers in sum

A table server that sends a long answer in small pieces had all that had come copied and parsed with each piece: 1,001 times for 1 MB in pieces of 1,000 bytes. And each connection's answer was bounded (2 MB), but not the sum over up to 496 connections.

Pieces are kept until the length that the answer announced has come (AnswerParser). Partial answers may hold an eighth of the memory limit; one that does not fit ends its attempt as an error, since it may have run, and is logged. Commands' parser uses the same queue of pieces, and takes data as it is where nothing waits.

--- a/tests/test_server_answers.py
+++ b/tests/test_server_answers.py
@@ -195,7 +195,7 @@
 
 
 def held_bytes(connection: server_connection.ServerConnection) -> int:
-    return len(connection.buffer)
+    return connection.held_bytes
 
 
 def test_partial_answers_of_all_servers_are_bounded():
--- a/thymehinge/emulator/entries.py
+++ b/thymehinge/emulator/entries.py
@@ -154,7 +154,7 @@
         SteppingClock(),
         Gateway(SINGLE_GATEWAY_SETTINGS, seed, START_TIME),
     )
-    servers = Servers(15.0, 0.25, 1024, clock, lambda when, callback: None, lambda *outcome: None)
+    servers = Servers(15.0, 0.25, 1024, 2**27, clock, lambda when, callback: None, lambda *outcome: None)
 
     def add_entries(first: int, last: int) -> None:
         hosts = host_list(last - first, rng, first)
--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -58,6 +58,7 @@
             config.idle_timeout,
             config.connect_timeout,
             max_server_connections,
+            config.memory_bytes,
             clock,
             self.call_at,
             self.on_outcome,
--- a/thymehinge/net/resp.py
+++ b/thymehinge/net/resp.py
@@ -108,33 +108,92 @@
     return value, report, offset
 
 
+class PieceQueue:
+    """Received data in pieces, of which small ones are joined, so that no byte is copied many times."""
+
+    __slots__ = ("pieces", "size")
+
+    def __init__(self) -> None:
+        self.pieces: deque[bytes] = deque()
+        self.size = 0  # their bytes
+
+    def append(self, data: bytes) -> None:
+        if self.pieces and len(self.pieces[-1]) + len(data) <= MAX_PIECE_BYTES:
+            self.pieces[-1] += data
+        else:
+            self.pieces.append(data)
+        self.size += len(data)
+
+    def clear(self) -> None:
+        self.pieces.clear()
+        self.size = 0
+
+    def take(self, before: bytes, min_size: int) -> bytes:
+        """Return `before` with the next piece, and more pieces while the result is below `min_size`."""
+        taken, size = [before], len(before)
+        while self.pieces and (len(taken) == 1 or size < min_size):
+            taken.append(self.pieces.popleft())
+            size += len(taken[-1])
+        self.size -= size - len(before)
+        return b"".join(taken)
+
+
+class AnswerParser:
+    """Incremental parser of one answer of a server."""
+
+    __slots__ = ("buffer", "needed_bytes", "pieces")
+
+    def __init__(self) -> None:
+        self.buffer, self.pieces = b"", PieceQueue()
+        self.needed_bytes = 0  # with fewer, the answer is known to be incomplete
+
+    def feed(self, data: bytes) -> tuple[bytes | None, bytes | None, bool] | None:
+        """Add data; return the value, the text and whether nothing follows once the answer is complete.
+
+        Value and text are those of `parse_answer`. Raises ProtocolError if the data is not an answer.
+        """
+        if self.buffer:
+            self.pieces.append(data)
+            if self.buffered_bytes() < self.needed_bytes:
+                return None
+            data = self.pieces.take(self.buffer, self.buffered_bytes())
+        self.buffer = data
+        try:
+            value, text, end = parse_answer(self.buffer)
+        except IncompleteMessageError as error:
+            self.needed_bytes = error.end
+            return None
+        is_all_data = end == len(self.buffer)
+        self.buffer, self.needed_bytes = b"", 0
+        return value, text, is_all_data
+
+    def buffered_bytes(self) -> int:
+        """Return the size of the part of an answer that has come."""
+        return len(self.buffer) + self.pieces.size
+
+
 class CommandParser:
     """Incremental parser that splits a client's stream into commands.
 
-    Data behind the buffer is kept in pieces and added when a command needs it, so that each byte is copied a
-    few times at most, however much is fed at once or in however small pieces.
+    Data behind the buffer is kept in pieces and added when a command needs it.
     """
 
-    __slots__ = ("buffer", "needed_bytes", "offset", "pieces", "pieces_bytes")
+    __slots__ = ("buffer", "needed_bytes", "offset", "pieces")
 
     def __init__(self) -> None:
-        self.buffer, self.offset = b"", 0
-        self.pieces: deque[bytes] = deque()
-        self.pieces_bytes = 0  # their sum
+        self.buffer, self.offset, self.pieces = b"", 0, PieceQueue()
         self.needed_bytes = 0  # after the offset; with fewer, the next command is known to be incomplete
 
     def feed(self, data: bytes) -> None:
-        if self.pieces and len(self.pieces[-1]) + len(data) <= MAX_PIECE_BYTES:
-            self.pieces[-1] += data
-        else:
+        if self.has_unparsed():
             self.pieces.append(data)
-        self.pieces_bytes += len(data)
+        else:
+            self.buffer, self.offset = data, 0
 
     def discard(self) -> None:
         """Discard all data."""
         self.buffer, self.offset, self.needed_bytes = b"", 0, 0
         self.pieces.clear()
-        self.pieces_bytes = 0
 
     def next_command(self) -> list[bytes] | None:
         """Return the name and arguments of the next command, or None if it is incomplete.
@@ -142,21 +201,12 @@
         Raises ProtocolError if the data is not a command; the rest of the stream cannot be parsed then.
         """
         while (arguments := self.parse_buffer()) is None:
-            if self.unparsed_bytes() < self.needed_bytes or not self.pieces:
+            if self.unparsed_bytes() < self.needed_bytes or not self.pieces.size:
                 return None
-            self.add_pieces()
+            self.buffer = self.pieces.take(self.buffer[self.offset :], self.needed_bytes)
+            self.offset = 0
         return arguments
 
-    def add_pieces(self) -> None:
-        """Add the next piece to the buffer, and others until the bytes known to be needed are there."""
-        added = [self.buffer[self.offset :]]
-        size = len(added[0])
-        while self.pieces and (len(added) == 1 or size < self.needed_bytes):
-            added.append(self.pieces.popleft())
-            size += len(added[-1])
-            self.pieces_bytes -= len(added[-1])
-        self.buffer, self.offset = b"".join(added), 0
-
     def parse_buffer(self) -> list[bytes] | None:
         """Return the next command if the buffer contains it; raises ProtocolError like `next_command`."""
         if len(self.buffer) - self.offset < max(1, self.needed_bytes):
@@ -185,12 +235,12 @@
 
     def has_unparsed(self) -> bool:
         """Return whether data is buffered that has not been returned as a command."""
-        return self.offset < len(self.buffer) or bool(self.pieces)
+        return self.offset < len(self.buffer) or self.pieces.size > 0
 
     def buffered_bytes(self) -> int:
         """Return the size of all data, which may include commands that have been returned."""
-        return len(self.buffer) + self.pieces_bytes
+        return len(self.buffer) + self.pieces.size
 
     def unparsed_bytes(self) -> int:
         """Return the number of buffered bytes that have not been returned as a command."""
-        return len(self.buffer) - self.offset + self.pieces_bytes
+        return len(self.buffer) - self.offset + self.pieces.size
--- a/thymehinge/net/server_connection.py
+++ b/thymehinge/net/server_connection.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import re
 from typing import TYPE_CHECKING, Protocol
 
 from thymehinge.interface import Result
 from thymehinge.net.config import Address
-from thymehinge.net.resp import IncompleteMessageError, ProtocolError, parse_answer
+from thymehinge.net.resp import AnswerParser, ProtocolError
 
 if TYPE_CHECKING:
     from thymehinge.net.servers import Pool
@@ -21,6 +22,8 @@
 PARTIAL_ANSWER_TIMEOUT = 0.5  # seconds without further data in the middle of an answer
 REPORT_FIELD = rb"[a-z_0-9]{1,16}=[0-9]{1,6}(?:\.[0-9]{1,9})?"
 LOAD_REPORT = re.compile(REPORT_FIELD + rb"(?:," + REPORT_FIELD + rb")*")
+log = logging.getLogger(__name__)
+
 EMPTY_REPORT: dict[str, float] = {}
 
 
@@ -83,9 +86,10 @@
 
     __slots__ = (
         "address",
+        "answer_parser",
         "attempt",
-        "buffer",
         "closed",
+        "held_bytes",
         "idle_since",
         "pool",
         "reusable",
@@ -96,7 +100,7 @@
 
     def __init__(self, pool: Pool, address: Address) -> None:
         self.pool, self.address = pool, address
-        self.buffer = b""  # a partial answer
+        self.answer_parser, self.held_bytes = AnswerParser(), 0  # held_bytes: of a partial answer
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.write_pending = self.closed = self.reusable = False
@@ -136,25 +140,34 @@
         attempt = self.attempt
         if attempt is None:  # unsolicited data: the stream can no longer be trusted
             return self.abort()
-        servers, was_partial, self.buffer = self.pool.servers, bool(self.buffer), self.buffer + data
+        servers, was_partial = self.pool.servers, self.held_bytes > 0
         try:
-            value, text, end = parse_answer(self.buffer)
-        except IncompleteMessageError:
+            answer = self.answer_parser.feed(data)
+        except ProtocolError:
+            return self.abort_attempt(Result.ERROR)
+        self.hold(self.answer_parser.buffered_bytes())
+        if answer is None:
+            if servers.partial_answer_bytes > servers.max_partial_answer_bytes:
+                log.warning("an answer does not fit into the memory for partial answers")
+                return self.abort_attempt(Result.ERROR)
             if not was_partial:
-                size = len(self.buffer)
+                size = self.held_bytes
                 servers.call_at(
                     servers.clock() + PARTIAL_ANSWER_TIMEOUT, lambda: self.check_progress(attempt, size)
                 )
             return None
-        except ProtocolError:
-            return self.abort_attempt(Result.ERROR)
-        is_all_data, self.buffer = end == len(self.buffer), b""
+        value, text, is_all_data = answer
         self.attempt = None
         if not is_all_data or self.write_pending:
             self.abort()
         servers.finish_attempt(attempt, *classify_answer(value, text, is_all_data), value)
         return self.pool.release(self, reusable=False)
 
+    def hold(self, size: int) -> None:
+        """Count the bytes of a partial answer that the connection holds."""
+        self.pool.servers.partial_answer_bytes += size - self.held_bytes
+        self.held_bytes = size
+
     def check_progress(self, attempt: Attempt, previous_size: int) -> None:
         """Abort an attempt whose partial answer has not grown since the previous check.
 
@@ -162,9 +175,9 @@
         """
         if self.attempt is not attempt:
             return
-        if len(self.buffer) == previous_size:
+        if self.held_bytes == previous_size:
             return self.abort_attempt(Result.ERROR)
-        size, servers = len(self.buffer), self.pool.servers
+        size, servers = self.held_bytes, self.pool.servers
         return servers.call_at(
             servers.clock() + PARTIAL_ANSWER_TIMEOUT, lambda: self.check_progress(attempt, size)
         )
@@ -185,17 +198,19 @@
         """Update the pool's counts and idle connections, unless this has been done."""
         if not self.closed:
             self.closed = True
+            self.hold(0)
             self.pool.open_connections -= 1
             self.pool.servers.open_connections -= 1
             if self in self.pool.idle:
                 self.pool.idle.remove(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        had_answer = self.held_bytes > 0
         self.remove_from_pool()
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             servers = self.pool.servers
-            if self.idle_since and not self.buffer and servers.clock() - self.written_at < STALE_RESET_WINDOW:
+            if self.idle_since and not had_answer and servers.clock() - self.written_at < STALE_RESET_WINDOW:
                 servers.on_stale_connection(self.written_at - self.idle_since)
             servers.finish_attempt(attempt, Result.CONNECT_FAILED if self.write_pending else Result.RESET)
         self.pool.connect_as_needed()
--- a/thymehinge/net/servers.py
+++ b/thymehinge/net/servers.py
@@ -18,6 +18,7 @@
 IDLE_LIMIT_FRACTION = 0.7  # of the servers' idle timeout; connections idle for longer are not reused
 MAX_CONNECTIONS_PER_SERVER = 128
 REUSE_DELAY = 0.02  # seconds from an answer to the reuse of its connection, since unexpected data may follow
+PARTIAL_ANSWERS_FRACTION = 1 / 8  # of the memory limit, for answers that have partly come
 IDLE_LIMIT_GROWTH = 1.2  # factor by which a lowered idle limit recovers with each sweep
 
 # Called with an attempt, its result, the load report, and the value if the result is OK.
@@ -153,7 +154,8 @@
 class Servers:
     """The pools of all servers, their common limits, and the single outcome of each attempt.
 
-    `idle_timeout` and `connect_timeout` are in seconds; `call_at` calls a function at a time of `clock`.
+    `idle_timeout` and `connect_timeout` are in seconds; `call_at` calls a function at a time of `clock`;
+    `memory_bytes` is the memory limit of this process.
     """
 
     def __init__(
@@ -161,6 +163,7 @@
         idle_timeout: float,
         connect_timeout: float,
         max_connections: int,
+        memory_bytes: int,
         clock: Callable[[], float],
         call_at: Callable[[float, Callable[[], None]], None],
         on_outcome: OutcomeCallback,
@@ -178,6 +181,8 @@
             0,
             0,
         )
+        self.partial_answer_bytes = 0  # held by all connections
+        self.max_partial_answer_bytes = int(memory_bytes * PARTIAL_ANSWERS_FRACTION)
         self.loop = asyncio.get_running_loop()
         self.pools: dict[str, Pool] = {}
         self.tasks: set[asyncio.Task[None]] = set()
