Treat a server as gone when one that started later is listed at its address

The list shows both names with one address, and born_ms tells which process is there. A server whose address one of a later start has is now gone for the decision module and for the pools, until a list shows it elsewhere or anew.

--- a/thymehinge/net/driver.py
+++ b/thymehinge/net/driver.py
@@ -187,8 +187,9 @@
             resolved += part
             yield
         if kind is not api.ListKind.DELTA:
-            self.deliver(api.ServerList(kind, hosts.version, tuple(resolved)))
-            self.servers.remove(tuple(resolved), is_snapshot=True)
+            servers = self.servers.mark_superseded(tuple(resolved), hosts.addresses)
+            self.deliver(api.ServerList(kind, hosts.version, servers))
+            self.servers.remove(servers, is_snapshot=True)
         return None
 
     def apply_servers(self, kind: api.ListKind, hosts: HostList, servers: tuple[api.Server, ...]) -> None:
@@ -198,6 +199,7 @@
         waited in them to other servers.
         """
         self.has_list = self.has_list or bool(servers) or kind is api.ListKind.SNAPSHOT
+        servers = self.servers.mark_superseded(servers, hosts.addresses)
         self.servers.add(servers, hosts.addresses)
         self.deliver(api.ServerList(kind, hosts.version, servers))
         self.servers.remove(servers, kind is not api.ListKind.DELTA)
--- a/thymehinge/net/servers.py
+++ b/thymehinge/net/servers.py
@@ -188,6 +188,31 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.awaiting_reuse: deque[ServerConnection] = deque()  # idle but not reusable yet, oldest first
 
+    def mark_superseded(
+        self, servers: tuple[Server, ...], addresses: dict[str, Address]
+    ) -> tuple[Server, ...]:
+        """Return the servers of a list, with those as gone whose address a server that started later has.
+
+        Servers of earlier lists are added as gone too: the process at their address is another one.
+        """
+        latest: dict[Address, Server] = {}
+        for server in servers:
+            if server.started_at > 0 and server.state is LifecycleState.RUNNING:
+                address = addresses[server.name]
+                if address not in latest or latest[address].started_at < server.started_at:
+                    latest[address] = server
+        if not latest:
+            return servers
+        listed = {server.name: (addresses.get(server.name), server.started_at) for server in servers}
+        known = {name: (pool.address, pool.started_at) for name, pool in self.pools.items()}
+        superseded = {
+            name
+            for name, (address, started_at) in (known | listed).items()
+            if address in latest and started_at < latest[address].started_at
+        }
+        kept = [server for server in servers if server.name not in superseded]
+        return (*kept, *(Server(name, LifecycleState.GONE) for name in sorted(superseded)))
+
     def add(self, servers: tuple[Server, ...], addresses: dict[str, Address]) -> None:
         """Add or update the pools of running servers, before the decision module gets the list."""
         for server in servers:
