Count replies that clients do not read, and fail those that have to wait without memory

Their replies were counted only until they were written to the transport, and nothing acted on the count.

A reply that has to wait, for earlier ones or for the client to read, and does not fit into the memory for clients now becomes a failure, and unread replies of slow readers count. A reply that can be sent at once is never replaced. Up to 64 KB a connection stay uncounted in its write buffer, as before.

--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -15,6 +15,7 @@
     CUSTOMER_ID,
     HOST,
     WAIT_TIMEOUT,
+    GatewayHarness,
     RespConnection,
     harness_with_server,
     next_item,
@@ -28,6 +29,7 @@
 from thymehinge import interface as api
 from thymehinge.net.client_connection import READ_BUFFER_BYTES
 from thymehinge.net.client_memory import ClientMemory
+from thymehinge.net.exchange import Exchange
 
 MEMORY_MB = 96
 LONG_BODY = b"m" * 64_000  # bytes; a value may hold 65,536
@@ -271,3 +273,68 @@
         assert len(connection.arrival_times.marks) <= 2
 
     run_on_uvloop(test())
+
+
+LONG_REPLY = b"$60000\r\n" + b"v" * 60_000 + b"\r\n"
+
+
+async def pipeline_requests(harness: GatewayHarness, client: RespConnection, count: int) -> list[Exchange]:
+    """Send requests on one connection, and return them when they have arrived, unanswered."""
+    exchanges: list[Exchange] = []
+    harness.driver.clients.on_request = exchanges.append
+    client.write(b"".join(pack_long_request(b"m") for _ in range(count)))
+    async with asyncio.timeout(WAIT_TIMEOUT):
+        while len(exchanges) < count:
+            await asyncio.sleep(0)
+    return exchanges
+
+
+def test_replies_that_wait_for_earlier_ones_are_bounded():
+    """Guards the memory limit against long values behind a request that takes long; the rest fail."""
+
+    async def test() -> None:
+        limits = {"cores": 1.0, "memory_mb": 16, "sockets": 256}
+        harness, _ = await harness_with_server(limits=limits)
+        memory = harness.driver.clients.memory
+        client = await harness.connect_client()
+        first, *others = await pipeline_requests(harness, client, 200)
+        for exchange in others:
+            exchange.answer(LONG_REPLY)
+            assert memory.held_bytes <= memory.limit_bytes
+        first.answer(LONG_REPLY)
+        replies = [await client.read() for _ in range(200)]
+        assert replies[0] == b"v" * 60_000
+        failed = sum(isinstance(reply, hiredis.ReplyError) for reply in replies)
+        assert 0 < failed < 190
+
+    run_on_uvloop(test())
+
+
+def test_replies_that_a_client_does_not_read_are_bounded():
+    """Guards the memory limit against clients that leave long values unread."""
+
+    async def test() -> None:
+        limits = {"cores": 1.0, "memory_mb": 16, "sockets": 256}
+        harness, _ = await harness_with_server(limits=limits)
+        clients, memory = harness.driver.clients, harness.driver.clients.memory
+        sender = await harness.connect_raw_client(b"")
+        client = await harness.connect_client()
+        client.stream_reader._transport.pause_reading()
+        exchanges = await pipeline_requests(harness, client, 240)
+        for exchange in exchanges:
+            exchange.answer(LONG_REPLY)
+            await asyncio.sleep(0)
+            unsent = sum(c.transport.get_write_buffer_size() for c in clients.connections)
+            assert unsent <= memory.limit_bytes + len(LONG_REPLY)
+        (reader,) = clients.slow_readers
+        assert memory.held_bytes >= reader.transport.get_write_buffer_size() - len(LONG_REPLY)
+        client.stream_reader._transport.resume_reading()
+        replies = [await client.read() for _ in range(240)]
+        assert replies[0] == b"v" * 60_000 and isinstance(replies[-1], hiredis.ReplyError)
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while clients.slow_readers:
+                await asyncio.sleep(0)
+        assert memory.held_bytes == 0
+        sender.close()
+
+    run_on_uvloop(test())
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -87,6 +87,7 @@
         "sock",
         "transport",
         "unparsed_bytes",
+        "unsent_bytes",
         "used_time",
     )
 
@@ -101,8 +102,9 @@
         self.used_time = clients.queue.virtual_time  # see FairQueue; no credit for a new connection
         self.invalid_commands, self.idle_since = 0, clients.clock()  # idle_since: initially the connect time
         self.command_started_at = math.inf  # when the current partial command was first seen
-        self.held_bytes = 0  # for pending requests and replies, and unparsed data
+        self.held_bytes = 0  # for pending requests, replies, and unparsed data
         self.unparsed_bytes = 0  # the part of them that is unparsed data
+        self.unsent_bytes = 0  # the part that is replies to a slow reader
         self.latest_deadline = 0.0  # of the requests whose replies have been written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,7 +116,9 @@
         self.phase = Phase.CLOSED
         self.clients.remove_connection(self)
         self.cancel_pending()
+        self.parser.discard()
         self.hold(-self.held_bytes)
+        self.unparsed_bytes = self.unsent_bytes = 0
 
     # Closing.
 
@@ -186,17 +190,29 @@
         self.hold(size - self.unparsed_bytes)
         self.unparsed_bytes = size
 
+    def hold_unsent(self) -> None:
+        """Count the replies that a slow reader has not read; others are sent at once."""
+        size = self.transport.get_write_buffer_size() if self.slow_reader else 0
+        self.hold(size - self.unsent_bytes)
+        self.unsent_bytes = size
+
+    def has_to_wait(self, exchange: Exchange) -> bool:
+        """Return whether a reply has to wait for the client to read, or for those of earlier commands."""
+        return self.slow_reader or (bool(self.pending) and self.pending[0] is not exchange)
+
     # Reading commands.
 
     def pause_writing(self) -> None:
         """Stop reading and processing commands while the client is slow to read its replies."""
         self.slow_reader = True
         self.clients.slow_readers[self] = self.clients.clock()
+        self.hold_unsent()
         self.pause_reading()
 
     def resume_writing(self) -> None:
         self.slow_reader = False
         self.clients.slow_readers.pop(self, None)
+        self.hold_unsent()
         self.resume_processing()
 
     def resume_processing(self) -> None:
@@ -404,6 +420,8 @@
         ready = self.pop_ready_replies()
         if ready:
             self.transport.write(ready)
+            if self.slow_reader:
+                self.hold_unsent()
         if not self.pending:
             self.on_all_answered(bool(ready))
         if self.pipeline_full and len(self.pending) < MAX_PIPELINED_COMMANDS // 2:
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -188,8 +188,13 @@
         return any(attempt.result is not None and not attempt.result.never_ran for attempt in self.attempts)
 
     def answer(self, reply: bytes) -> None:
-        """Set the reply, unless there is one already, and write it once all earlier ones are written."""
+        """Set the reply, unless there is one already, and write it once all earlier ones are written.
+
+        A reply that has to wait, and does not fit into the memory for clients, is replaced by a failure.
+        """
         if not self.done:
+            if self.connection.has_to_wait(self) and not self.connection.clients.memory.admits(len(reply)):
+                reply = FAILED_REPLY
             self.done, self.reply = True, reply
             self.connection.clients.ids.release(self)
             self.arguments = ()  # no attempt starts after the reply, which may wait for earlier ones
