--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -83,6 +83,7 @@
         "phase",
         "pipeline_full",
         "queued",
+        "queued_at",
         "slow_reader",
         "sock",
         "transport",
@@ -98,6 +99,7 @@
         self.transport: asyncio.Transport | None = None
         self.phase = Phase.OPEN
         self.pipeline_full = self.batching = self.slow_reader = False
+        self.queued_at = 0.0  # when it last began to wait for a turn
         self.queued = False  # whether it waits for its turn to process commands, or has it
         self.used_time = clients.queue.virtual_time  # see FairQueue; no credit for a new connection
         self.invalid_commands, self.idle_since = 0, clients.clock()  # idle_since: initially the connect time
@@ -364,7 +366,7 @@
         """Pass on a request; it is refused if there is no memory for it, and rejected if it is invalid."""
         try:
             exchange = Exchange(arguments, self.clients.accepted_values)
-            self.clients.ids.check(exchange)
+            self.check_id(exchange)
         except CommandError as error:
             return self.reject_command(str(error))
         self.clients.awaiting_first_request.pop(self, None)
@@ -381,6 +383,14 @@
         self.clients.idle.pop(self, None)
         return self.clients.on_request(exchange)
 
+    def check_id(self, exchange: Exchange) -> None:
+        """Raise CommandError, and count it, if the id of a request is not a new one."""
+        try:
+            self.clients.ids.check(exchange)
+        except CommandError:
+            self.clients.report.rejected_ids += 1
+            raise
+
     def fits_into_memory(self, request_bytes: int) -> bool:
         """Return whether there is memory for a request, and for the data that has arrived behind it."""
         memory = self.clients.memory
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -13,6 +13,7 @@
 from thymehinge.net.client_memory import ClientMemory
 from thymehinge.net.exchange import AcceptedValues, Exchange
 from thymehinge.net.fair_queue import FairQueue
+from thymehinge.net.intake_report import IntakeReport
 from thymehinge.net.request_ids import RequestIds
 
 MIN_SLOW_READER_TIMEOUT = 30.0  # seconds for which a client may always leave replies unread
@@ -68,6 +69,7 @@
         self.lingering: dict[ClientConnection, float] = {}  # closed by the gateway; when to abort
         self.read_paused: set[ClientConnection] = set()
         self.queue, self.queue_scheduled = FairQueue(), False  # connections with data to process
+        self.report = IntakeReport()
         self.backlog_since: float | None = None  # since when connections may be waiting to be accepted
         self.ids = RequestIds(self.accepted_values.max_timeout, clock)
 
@@ -76,7 +78,7 @@
     def enqueue(self, connection: ClientConnection) -> None:
         """Have a connection's commands processed when it is its turn."""
         if not connection.queued:
-            connection.queued = True
+            connection.queued, connection.queued_at = True, self.clock()
             self.queue.add(connection)
             self.schedule_queue()
 
@@ -97,6 +99,7 @@
     def run_turn(self, connection: ClientConnection, started_at: float) -> float:
         """Process a connection's commands for CONNECTION_TURN, and return the time at its end."""
         needs_turn = False
+        self.report.record_wait(started_at - connection.queued_at)
         try:
             needs_turn = connection.process_commands(started_at + CONNECTION_TURN)
         except Exception:
@@ -105,6 +108,7 @@
         ended_at = self.clock()
         self.queue.charge(connection, ended_at - started_at)
         if needs_turn:
+            connection.queued_at = ended_at
             self.queue.add(connection)
         return ended_at
 
@@ -222,6 +226,7 @@
         """Record arrivals on paused connections, and close or abort connections that have timed out."""
         now = self.clock()
         self.memory.report(self.connections, now)
+        self.report.report(now, len(self.queue.waiting))
         for connection in self.read_paused:
             connection.record_unread()
         for group, timeout in (
--- a/thymehinge/net/exchange.py
+++ b/thymehinge/net/exchange.py
@@ -179,6 +179,13 @@
         self.answer(FAILED_REPLY if self.may_have_run() else BUSY_REPLY)
         self.connection.clients.on_client_gone(self)
 
+    def report_late_reply(self) -> None:
+        """Have a reply counted that comes after the deadline, which is 0 for a request refused at once."""
+        if self.deadline:
+            clients = self.connection.clients
+            late_by = clients.clock() - self.deadline
+            clients.report.record_reply(self.wire_id, self.class_name, len(self.attempts), late_by)
+
     def is_finished(self) -> bool:
         """Return whether the request is answered, or its client gone, and no attempt is in flight."""
         return self.done and not any(attempt.in_flight for attempt in self.attempts)
@@ -196,6 +203,7 @@
             if self.connection.has_to_wait(self) and not self.connection.clients.memory.admits(len(reply)):
                 reply = FAILED_REPLY
             self.done, self.reply = True, reply
+            self.report_late_reply()
             self.connection.clients.ids.release(self)
             self.arguments = ()  # no attempt starts after the reply, which may wait for earlier ones
             self.connection.hold_exchange(self, REQUEST_OVERHEAD_BYTES + len(reply))
