--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -155,6 +155,10 @@
 }
 
 
+# Behaviours of which no request reaches a table server.
+BEHAVIOURS_WITHOUT_REQUESTS = ("half requests", "no time", "ping", "select", "short fields", "unsound")
+
+
 def send_at_full_speed(
     address: tuple[str, int], behaviour: str, seed: int, ended: threading.Event, leave: bool = False
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,11 +14,27 @@
 DURATION = 8.0  # seconds before SIGTERM
 
 
+def test_random_faults_beside_hostile_senders_violate_no_terms():
+    check_soak(seed=124, senders=6)
+
+
 @pytest.mark.parametrize("seed", [101, 115, 124, 126])
 def test_random_faults_violate_no_terms(seed):
     """The seeds cover failing system calls, address changes, slow discovery, stalls, drains and hangs."""
+    check_soak(seed, senders=0)
+
+
+def check_soak(seed: int, senders: int) -> None:
+    """Play one run and check that no term was violated."""
     options = argparse.Namespace(
-        seed=seed, clients=CLIENT_COUNT, sockets=MAX_SOCKETS, seconds=DURATION, tree=ROOT
+        seed=seed,
+        clients=CLIENT_COUNT,
+        sockets=MAX_SOCKETS,
+        seconds=DURATION,
+        tree=ROOT,
+        senders=senders,
+        behaviour="ping",
+        leave=False,
     )
 
     async def test() -> None:
