Discard unread data behind a protocol error before the close, which would reset the connection

Where what follows is owed no answer (a protocol error, too many invalid commands, a part that comes to no end), unread data is now taken from the kernel at the close, 1 MB at most. Other closes leave unread data alone, since it may hold a request that the client has to send again.

--- a/tests/test_connection_end.py
+++ b/tests/test_connection_end.py
@@ -24,7 +24,7 @@
 )
 
 from thymehinge.net import client_connection, clients
-from thymehinge.net.client_connection import ClientConnection
+from thymehinge.net.client_connection import ClientConnection, Phase
 
 OTHER_REQUEST_ID = REQUEST_ID[::-1]
 PARTIAL_REQUEST = pack_request().replace(REQUEST_ID, OTHER_REQUEST_ID)[:20]
@@ -339,3 +339,29 @@
         assert await client.read() == b"second"
 
     run_on_uvloop(test())
+
+
+@pytest.mark.parametrize("value_size", [10, 10**6])
+def test_replies_arrive_although_data_behind_a_protocol_error_is_unread(value_size):
+    """Guards against a reset by a close over unread data, which discards replies still in transit."""
+
+    async def test() -> None:
+        harness, connections = await harness_with_server()
+        harness.driver.clients.read_buffer = bytearray(1024)  # the rest stays in the kernel
+        client = await harness.connect_client()
+        client.write(pack_request() + b"GET / HTTP\r\n\r\n" * 3000)
+        server = await next_item(connections)
+        await server.read()
+        (connection,) = harness.driver.clients.connections
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while connection.phase is Phase.OPEN:
+                await asyncio.sleep(0)
+            client.stream_reader._transport.pause_reading()
+            server.write(success_reply(b"x" * value_size))
+            while connection.phase is not Phase.CLOSED:
+                await asyncio.sleep(0)
+        client.stream_reader._transport.resume_reading()
+        assert await client.read() == b"x" * value_size
+        assert "Protocol error" in str(await client.read())
+
+    run_on_uvloop(test())
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -27,6 +27,7 @@
 import math
 import socket
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from thymehinge.net.arrivals import ArrivalTimes, seconds_since_last_data, unread_bytes
@@ -39,6 +40,7 @@
 
 MAX_PIPELINED_COMMANDS = 256  # pending commands of one connection at which reading pauses
 READ_BUFFER_BYTES = 32 * 1024  # read at once
+MAX_DISCARDED_READS = 32  # at the close of a connection
 MAX_INVALID_COMMANDS = 8  # on a connection before it is closed
 MIN_LINGER_TIMEOUT = 1.0  # seconds; a client always has this long after the close to read its last replies
 ANSWER_GRACE = 0.5  # seconds after its deadline for which a reply still counts as on time, by protocol
@@ -74,6 +76,7 @@
         "batching",
         "clients",
         "command_started_at",
+        "discards_input",
         "held_bytes",
         "idle_since",
         "invalid_commands",
@@ -98,7 +101,7 @@
         self.pending: deque[Exchange | LocalReply] = deque()
         self.transport: asyncio.Transport | None = None
         self.phase = Phase.OPEN
-        self.pipeline_full = self.batching = self.slow_reader = False
+        self.pipeline_full = self.batching = self.slow_reader = self.discards_input = False
         self.queued_at = 0.0  # when it last began to wait for a turn
         self.queued = False  # whether it waits for its turn to process commands, or has it
         self.used_time = clients.queue.virtual_time  # see FairQueue; no credit for a new connection
@@ -124,10 +127,14 @@
 
     # Closing.
 
-    def close_gracefully(self, final_reply: bytes = b"") -> None:
-        """Stop reading, and close once all pending requests are answered and the final reply is written."""
+    def close_gracefully(self, final_reply: bytes = b"", discard_input: bool = False) -> None:
+        """Stop reading, and close once all pending requests are answered and the final reply is written.
+
+        With `discard_input`, what the client has sent behind is owed no answer and is discarded at the close.
+        """
         if self.phase is Phase.OPEN:
             self.phase = Phase.DRAINING
+            self.discards_input = discard_input
             self.transport.pause_reading()
             self.clients.clear_timeouts(self)
             self.parser.discard()
@@ -147,8 +154,17 @@
         self.clients.start_linger(
             self, max(self.clients.clock() + MIN_LINGER_TIMEOUT, self.latest_deadline + ANSWER_GRACE)
         )
+        if self.discards_input:
+            self.discard_unread()
         self.transport.close()
 
+    def discard_unread(self) -> None:
+        """Take unread data from the kernel: a close over it would reset the connection and lose replies."""
+        with suppress(OSError):  # nothing is left, or the client has closed
+            for _ in range(MAX_DISCARDED_READS):
+                if not self.sock.recv(READ_BUFFER_BYTES):
+                    return
+
     def abort(self) -> None:
         """Cancel all pending requests and free the descriptor; buffered replies are discarded."""
         self.phase = Phase.CLOSED
@@ -342,14 +358,14 @@
         is_partial = self.parser.has_unparsed() and not self.has_waiting_commands()
         if is_partial and self.phase is Phase.OPEN:
             if not self.clients.memory.admits(self.unparsed_bytes):
-                return self.close_gracefully(b"-ERR not enough memory for this command\r\n")
+                return self.close_gracefully(b"-ERR not enough memory for this command\r\n", True)
             mid_command[self] = now = self.clients.clock()
             self.command_started_at = min(self.command_started_at, now)
             self.clients.idle.pop(self, None)
         return None
 
     def close_with_protocol_error(self, reason: str) -> None:
-        self.close_gracefully(b"-ERR Protocol error: %b\r\n" % reason.encode())
+        self.close_gracefully(b"-ERR Protocol error: %b\r\n" % reason.encode(), discard_input=True)
 
     def handle_command(self, arguments: list[bytes]) -> None:
         """Reply to a command locally, or pass it on as a request."""
@@ -404,7 +420,7 @@
         self.queue_reply(b"-ERR %b\r\n" % reason.encode())
         self.invalid_commands += 1
         if self.invalid_commands >= MAX_INVALID_COMMANDS:
-            self.close_gracefully()
+            self.close_gracefully(discard_input=True)
 
     # Writing replies.
 
