--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class Mutation:
-    """A change of the code that breaks a row of docs/terms-audit.md, and the tests that must notice."""
+    """A change that breaks a row of docs/terms-audit.md or a bound, and the tests that must notice."""
 
     row: str
     path: str
@@ -47,7 +47,7 @@
     Mutation(
         "W11",
         "thymehinge/decisions.py",
-        "quota.cap_level = plan.cap_rate / quota.spread * (now - self.started_at)",
+        "quota.cap_level = plan.cap_rate / quota.spread * (now - self.cap_known_since)",
         "quota.cap_level = plan.cap_burst / quota.spread",
         "tests/test_rules.py::test_cap_holds_without_peer_messages_and_across_restarts",
     ),
@@ -79,6 +79,90 @@
         "pass",
         "tests/test_slow_discovery.py::test_calls_to_silent_discovery_follow_soon_after_slow_answers",
     ),
+    Mutation(
+        "39 turns",
+        "thymehinge/net/clients.py",
+        "while self.queue and now < started_at + LOOP_TURN:",
+        "while self.queue:",
+        "tests/test_fair_share.py",
+    ),
+    Mutation(
+        "39 shares",
+        "thymehinge/net/fair_queue.py",
+        "flow.used_time += min(max(duration, 0.0), MAX_CHARGE)",
+        "pass",
+        "tests/test_fair_queue.py",
+    ),
+    Mutation(
+        "39 timers",
+        "thymehinge/decisions.py",
+        "return job is None or job.done",
+        "return False",
+        "tests/test_bounded_state.py",
+    ),
+    Mutation(
+        "39 customers",
+        "thymehinge/customers.py",
+        "evicted = self.evict() if len(self) >= MAX_CUSTOMERS else None",
+        "evicted = None",
+        "tests/test_bounded_state.py",
+    ),
+    Mutation(
+        "39 caps",
+        "thymehinge/decisions.py",
+        "self.cap_known_since = max(self.cap_known_since, now - evicted.cap_refill_time())",
+        "pass",
+        "tests/test_bounded_state.py",
+    ),
+    Mutation(
+        "39 ids",
+        "thymehinge/net/request_ids.py",
+        "self.keep(exchange.wire_id)",
+        "pass",
+        "tests/test_repeated_ids.py",
+    ),
+    Mutation(
+        "39 closes",
+        "thymehinge/net/exchange.py",
+        "if not self.done and self.connection.hides_close():",
+        "if False:",
+        "tests/test_gone.py",
+    ),
+    Mutation(
+        "39 lists",
+        "thymehinge/net/slices.py",
+        "await asyncio.sleep(0)",
+        "pass",
+        "tests/test_large_lists.py",
+    ),
+    Mutation(
+        "39 peers",
+        "thymehinge/net/rate_limit.py",
+        "admitted = tokens >= 1.0",
+        "admitted = True",
+        "tests/test_peers.py",
+    ),
+    Mutation(
+        "39 answers",
+        "thymehinge/net/server_connection.py",
+        "if servers.partial_answer_bytes > servers.max_partial_answer_bytes:",
+        "if False:",
+        "tests/test_server_answers.py",
+    ),
+    Mutation(
+        "39 replies",
+        "thymehinge/net/exchange.py",
+        "if self.connection.has_to_wait(self) and not self.connection.clients.memory.admits(len(reply)):",
+        "if False:",
+        "tests/test_client_memory.py",
+    ),
+    Mutation(
+        "39 unread",
+        "thymehinge/net/client_connection.py",
+        "        if self.discards_input:\n            self.discard_unread()\n",
+        "",
+        "tests/test_connection_end.py",
+    ),
 )
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import os
+import socket
 import time
 
-import hiredis
 from netkit import (
     WAIT_TIMEOUT,
     GatewayHarness,
@@ -71,17 +71,17 @@
         harness.driver.servers.on_outcome = lambda a, result, report, value: outcomes.append(value)
         now = harness.driver.clock()
         attempt = Attempt(StubExchange(), 0, "s1", now, now + WAIT_TIMEOUT)
-        other_client = await harness.connect_client()
+        polled, trigger = socket.socketpair()
 
-        def stall() -> bool:
+        def stall() -> None:
             """Stall while sockets are polled: timers run before the next poll, which finds the duplicate."""
+            harness.driver.loop.remove_reader(polled)
             harness.driver.servers.pools["s1"].start_attempt(attempt)
             os.write(server.writer.get_extra_info("socket").fileno(), success_reply(b"first"))
             time.sleep(0.1)
-            return True
 
-        harness.driver.clients.is_ready = stall
-        other_client.write(hiredis.pack_command(("PING",)))
+        harness.driver.loop.add_reader(polled, stall)
+        trigger.send(b"x")
         assert await server.wait_closed()
         connects_allowed.set()
         new_server = await next_item(connections)
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -16,6 +16,7 @@
 | `Driver.abandon_all`: the drain reaches its deadline    | all pending are answered, then as for a drain   |
 | process exit, shortly before SIGKILL                    | replies that the client has not read are lost   |
 | `abort`: the client has closed                          | pending requests are cancelled                  |
+| `hides_close`: no memory to read on (it stays open)     | refused, as their client may have closed        |
 | `abort`: replies left unread past every deadline        | pending requests are cancelled                  |
 | `abort`: linger timeout after the gateway has closed    | replies stay readable until their deadlines     |
 """
