--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 import kit2
 
 SOCKETS = 256  # descriptors of the gateway, the fewest that DAYS gives
-CROWD = 800  # idle clients
+CROWD = 600  # idle clients
 CROWD_AT, CROWD_TIME, END = 5.0, 15.0, 25.0  # seconds
 RATE = 40.0  # requests a second
 
