Review cases: any error of a case itself ends it with exit code 2

Cause: an unexpected exception in a case would have ended it with Python's exit code 1, which stands for a broken rule.

--- a/review/kit2.py
+++ b/review/kit2.py
@@ -217,7 +217,7 @@
 
         asyncio.run(limited())
         code = BROKEN if case.breaks else HELD
-    except (CannotRun, TimeoutError, OSError, EOFError) as error:
+    except Exception as error:  # any error of the case itself: it shows nothing of the gateway
         case.log(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
     finally:
