--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import socket
-import subprocess
 import sys
 import threading
 import time
@@ -22,6 +21,7 @@
 def send_nonsense(port: int, seed: int, seconds: float) -> None:
     """Send requests of a class that does not exist until the gateway closes, then connect again at once."""
     rng, end = random.Random(seed), time.monotonic() + seconds
+    connections: list[list[int]] = []  # of each: commands sent, bytes of answers read
 
     def requests() -> bytes:
         return b"".join(
@@ -38,9 +38,14 @@
         while time.monotonic() < end:
             with suppress(OSError), socket.create_connection((kit2.HOST, port), 2.0) as sock:
                 sock.settimeout(2.0)
+                counts = [0, 0]
+                connections.append(counts)
                 while time.monotonic() < end:
                     sock.sendall(requests())
-                    if not sock.recv(65536):
+                    counts[0] += 8
+                    answer = sock.recv(65536)
+                    counts[1] += len(answer)
+                    if not answer:
                         break
 
     threads = [threading.Thread(target=client) for _ in range(THREADS)]
@@ -48,6 +53,10 @@
         thread.start()
     for thread in threads:
         thread.join()
+    print(
+        f"bad clients {seed}: {len(connections)} connections, {sum(c[0] for c in connections)} commands, "
+        f"{sum(c[1] for c in connections)} bytes of answers read"
+    )
 
 
 async def usual_client(case: kit2.Case, port: int, until: float) -> None:
@@ -79,7 +88,7 @@
         case.log(f"{PROCESSES * THREADS} bad clients begin, for {FLOOD_TIME} s")
         for seed in range(PROCESSES):
             words = [sys.executable, __file__, str(gateway.port), str(seed), str(FLOOD_TIME)]
-            case.processes.append(subprocess.Popen(words))
+            case.start_clients(words)
     await asyncio.gather(*clients)
     if gateway.process.poll() is not None:
         case.fail("the gateway has ended")
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -192,6 +192,11 @@
         self.breaks.append(text)
         self.log(f"BROKEN {text}")
 
+    def start_clients(self, words: list[str]) -> None:
+        """Start clients as a process, whose output goes to the record."""
+        self.record.flush()
+        self.processes.append(subprocess.Popen(words, stdout=self.record))
+
     def close(self) -> None:
         """End all processes that the case started."""
         for process in self.processes:
