Log first and later turns apart, and how long connections wait that get no turn

The intake report counted a turn's wait only once the turn came, for all connections alike, so that a connection that got none for as long as others connected anew did not appear. It now tells first turns from later ones, how long the connection waits that has waited longest, and how many connections were accepted.

--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -78,6 +78,7 @@
         "clients",
         "command_started_at",
         "discards_input",
+        "had_turn",
         "held_bytes",
         "idle_since",
         "invalid_commands",
@@ -104,6 +105,7 @@
         self.phase = Phase.OPEN
         self.pipeline_full = self.batching = self.slow_reader = self.discards_input = False
         self.queued_at = 0.0  # when it last began to wait for a turn
+        self.had_turn = False  # whether it has ever had a turn
         self.queued = False  # whether it waits for its turn to process commands, or has it
         self.used_time = clients.queue.virtual_time  # see FairQueue; no credit for a new connection
         self.invalid_commands, self.idle_since = 0, clients.clock()  # idle_since: initially the connect time
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -75,6 +75,12 @@
 
     # Processor time.
 
+    def longest_wait(self, now: float) -> float:
+        """Return for how many seconds the connection that waits longest has waited for a turn."""
+        return max(
+            (now - connection.queued_at for connection in self.connections if connection.queued), default=0.0
+        )
+
     def enqueue(self, connection: ClientConnection) -> None:
         """Have a connection's commands processed when it is its turn."""
         if not connection.queued:
@@ -99,7 +105,8 @@
     def run_turn(self, connection: ClientConnection, started_at: float) -> float:
         """Process a connection's commands for CONNECTION_TURN, and return the time at its end."""
         needs_turn = False
-        self.report.record_wait(started_at - connection.queued_at)
+        self.report.record_turn(started_at - connection.queued_at, is_first=not connection.had_turn)
+        connection.had_turn = True
         try:
             needs_turn = connection.process_commands(started_at + CONNECTION_TURN)
         except Exception:
@@ -150,6 +157,7 @@
                 return self.pause_accepting()
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.open_connections += 1
+            self.report.accepted_connections += 1
             task = self.loop.create_task(self.start_connection(sock))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -226,7 +234,7 @@
         """Record arrivals on paused connections, and close or abort connections that have timed out."""
         now = self.clock()
         self.memory.report(self.connections, now)
-        self.report.report(now, len(self.queue.waiting))
+        self.report.report(now, len(self.queue), self.longest_wait(now))
         for connection in self.read_paused:
             connection.record_unread()
         for group, timeout in (
--- a/thymehinge/net/fair_queue.py
+++ b/thymehinge/net/fair_queue.py
@@ -29,8 +29,8 @@
         self.waiting: list[tuple[float, int, Flow]] = []  # heap, by used time and order of arrival
         self.sequence = 0
 
-    def __bool__(self) -> bool:
-        return bool(self.waiting)
+    def __len__(self) -> int:
+        return len(self.waiting)
 
     def add(self, flow: Flow) -> None:
         """Queue a connection that is not queued yet."""
