Play hostile senders that open one connection after another

tests/hostile_clients.py had senders that reconnect only once the gateway has closed on blocks of 64 KB, from one process.

--- a/tests/crossing_clients.py
+++ b/tests/crossing_clients.py
@@ -13,7 +13,6 @@
 import argparse
 import asyncio
 import json
-import multiprocessing
 import random
 import signal
 import subprocess
@@ -28,7 +27,7 @@
 import hiredis
 from discoverykit import FakeDiscovery
 from faultkit import FaultInjector
-from hostile_clients import BEHAVIOURS_WITHOUT_REQUESTS, run_senders
+from hostile_clients import BEHAVIOURS_WITHOUT_REQUESTS, start_senders
 from netkit import HOST, raw_config, raw_settings
 from processkit import ROOT, free_port, running_gateway
 from processor_wait import ProcessorWait
@@ -283,11 +282,7 @@
             counts: Counter[str] = Counter()
             stopped = asyncio.Event()
             clients = [Client(i, options.seed, address, counts, checker) for i in range(options.clients)]
-            hostile = multiprocessing.get_context("spawn").Process(
-                target=run_senders, args=(address, options), daemon=True
-            )
-            if options.senders:
-                hostile.start()
+            hostile = start_senders(address, options)
             running_clients = [asyncio.create_task(client.run(stopped)) for client in clients]
             background = [asyncio.create_task(fault()) for fault in schedule.selected]
             background += [asyncio.create_task(checker.measure_lag())]
@@ -296,8 +291,8 @@
             await asyncio.sleep(1.0)
             stopped.set()
             await asyncio.gather(*running_clients)
-            if options.senders:
-                hostile.kill()
+            for process in hostile:
+                process.kill()
             for task in background:
                 task.cancel()
     counts.update(checker.violations)
@@ -339,6 +334,7 @@
     parser.add_argument("--tree", type=Path, default=ROOT, help="root of the checkout whose program is run")
     parser.add_argument("--days", type=int, default=1, help="number of runs, with consecutive seeds")
     parser.add_argument("--senders", type=int, default=0, help="hostile senders beside the clients")
+    parser.add_argument("--processes", type=int, default=1, help="that the hostile senders are spread over")
     parser.add_argument("--behaviour", choices=BEHAVIOURS_WITHOUT_REQUESTS, default="ping")
     parser.add_argument("--leave", action="store_true", help="hostile senders leave after each write")
     sys.exit(asyncio.run(main(parser.parse_args())))
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -2,15 +2,17 @@
 
     python tests/hostile_clients.py --behaviour ping --senders 6 --seconds 6 --seed 1
 
-Hostile senders run in threads of another process and send at full speed on a connection each. Prints how the
-usual requests fared and the gateway's highest memory; the exit code is 1 if an answer was late or missing, if
-the gateway ended, or if it exceeded its memory limit.
+Hostile senders run in threads of other processes and send at full speed on a connection each, or, with a
+behaviour of RECONNECTING_BEHAVIOURS, on one short connection after another. Prints how the usual requests
+fared and the gateway's highest memory; the exit code is 1 if an answer was late or missing, if the gateway
+ended, or if it exceeded its memory limit.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import enum
 import multiprocessing
 import random
 import socket
@@ -31,6 +33,8 @@
 from netkit import HOST, RespConnection, raw_config, raw_settings, success_reply
 from processkit import free_port, running_gateway
 
+from thymehinge.net.client_connection import MAX_INVALID_COMMANDS
+
 SERVER_COUNT = 8
 SERVICE_TIME = 0.03  # seconds that a table server works on a request
 ANSWER_GRACE = 0.5  # seconds past its timeout for which an answer is not lost, by the operators' terms
@@ -40,8 +44,10 @@
 USUAL_TIMEOUTS_MS = (20, 50, 250, 1000, 3000)
 MEMORY_MB = 192
 SOCKETS = 1024
+CONNECT_TIMEOUT = 2.0  # seconds of a hostile sender
 SEND_BYTES = 64 * 1024  # written at once by a hostile sender
 HOSTILE_CUSTOMERS_FROM = 2**20  # usual customers are below
+CUSTOMERS_PER_PROCESS = 2**24  # of hostile senders
 LONG_BODY_BYTES = 64_000
 SLOW_WRITE_PAUSE = 0.3  # seconds between two bytes of a client that writes slowly
 TIMEOUT_MS = 60_000  # of a hostile request, the longest that is accepted
@@ -155,8 +161,56 @@
 }
 
 
+class Ending(enum.Enum):
+    """What a sender that opens one connection after another does once it has written its data."""
+
+    READ_TO_END = enum.auto()  # wait until the gateway closes
+    READ_ONCE = enum.auto()  # close after the first data from the gateway
+    CLOSE = enum.auto()  # close at once
+    RESET = enum.auto()  # reset the connection at once
+
+
+def unknown_classes(rng: random.Random) -> bytes:
+    """Encode as many requests of a class that does not exist as end a connection."""
+    return b"".join(
+        hiredis.pack_command(
+            (
+                b"API.READ",
+                b"%016x" % rng.getrandbits(32),
+                b"%016x" % rng.getrandbits(64),
+                b"c=no,t=club,d=900",
+            )
+        )
+        for _ in range(MAX_INVALID_COMMANDS)
+    )
+
+
+# What a sender writes on each new connection, and how it ends the connection.
+RECONNECTING_BEHAVIOURS: dict[str, tuple[Callable[[random.Random], bytes], Ending]] = {
+    "reconnect, unknown classes": (unknown_classes, Ending.READ_TO_END),
+    "reconnect, protocol error": (lambda rng: b"GET / HTTP\r\n\r\n", Ending.READ_TO_END),
+    "reconnect, ping": (lambda rng: hiredis.pack_command(("PING",)), Ending.READ_ONCE),
+    "reconnect, half request": (lambda rng: request_of_new_customer()[:-10], Ending.CLOSE),
+    "reconnect, request": (lambda rng: request_of_new_customer(), Ending.READ_ONCE),
+    "reconnect, reset": (lambda rng: b"", Ending.RESET),
+}
+
+ALL_BEHAVIOURS = (*BEHAVIOURS, *RECONNECTING_BEHAVIOURS)
+
 # Behaviours of which no request reaches a table server.
-BEHAVIOURS_WITHOUT_REQUESTS = ("half requests", "no time", "ping", "select", "short fields", "unsound")
+BEHAVIOURS_WITHOUT_REQUESTS = (
+    "half requests",
+    "no time",
+    "ping",
+    "select",
+    "short fields",
+    "unsound",
+    "reconnect, unknown classes",
+    "reconnect, protocol error",
+    "reconnect, ping",
+    "reconnect, half request",
+    "reconnect, reset",
+)
 
 
 def send_at_full_speed(
@@ -184,16 +238,47 @@
                 reader.join()
 
 
-def run_senders(address: tuple[str, int], options: argparse.Namespace) -> None:
-    """Run all hostile senders until the process is killed."""
-    never = threading.Event()
-    for i in range(options.senders):
-        threading.Thread(
-            target=send_at_full_speed,
-            args=(address, options.behaviour, options.seed + i, never, options.leave),
-            daemon=True,
-        ).start()
-    never.wait()
+def reconnect_at_full_speed(address: tuple[str, int], behaviour: str, seed: int) -> None:
+    """Open one connection after another until the process is killed, see RECONNECTING_BEHAVIOURS."""
+    rng = random.Random(seed)
+    next_data, ending = RECONNECTING_BEHAVIOURS[behaviour]
+    while True:
+        with suppress(OSError), socket.create_connection(address, CONNECT_TIMEOUT) as sock:
+            sock.sendall(next_data(rng))
+            if ending is Ending.RESET:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            elif ending is Ending.READ_ONCE:
+                sock.recv(SEND_BYTES)
+            elif ending is Ending.READ_TO_END:
+                read_to_end(sock)
+
+
+def run_senders(address: tuple[str, int], options: argparse.Namespace, process_index: int = 0) -> None:
+    """Run the hostile senders of one of the processes until it is killed."""
+    global hostile_numbers
+    hostile_numbers = count(HOSTILE_CUSTOMERS_FROM + process_index * CUSTOMERS_PER_PROCESS)
+    for i in range(process_index, options.senders, options.processes):
+        arguments: tuple = (address, options.behaviour, options.seed + i)
+        sender: Callable[..., None] = reconnect_at_full_speed
+        if options.behaviour in BEHAVIOURS:
+            sender, arguments = send_at_full_speed, (*arguments, threading.Event(), options.leave)
+        threading.Thread(target=sender, args=arguments, daemon=True).start()
+    threading.Event().wait()
+
+
+def start_senders(
+    address: tuple[str, int], options: argparse.Namespace
+) -> list[multiprocessing.context.SpawnProcess]:
+    """Start all hostile senders, and return their processes."""
+    processes = [
+        multiprocessing.get_context("spawn").Process(
+            target=run_senders, args=(address, options, index), daemon=True
+        )
+        for index in range(options.processes if options.senders else 0)
+    ]
+    for process in processes:
+        process.start()
+    return processes
 
 
 def read_to_end(sock: socket.socket) -> None:
@@ -300,10 +385,7 @@
     results, peak = UsualResults(), 0.0
     with tempfile.TemporaryDirectory() as name:
         async with running_gateway(Path(name) / "config.json", config, root=options.tree) as gateway:
-            senders = multiprocessing.get_context("spawn").Process(
-                target=run_senders, args=((HOST, port), options), daemon=True
-            )
-            senders.start()
+            senders = start_senders((HOST, port), options)
             until = time.monotonic() + options.seconds
             usual = [
                 asyncio.create_task(UsualClient(i, options.seed, (HOST, port), results).run(until))
@@ -313,7 +395,8 @@
                 if gateway.poll() is None:
                     peak = max(peak, memory_mb(gateway.pid))
                 await asyncio.sleep(0.02)
-            senders.kill()
+            for process in senders:
+                process.kill()
             await asyncio.gather(*usual)
             code = gateway.poll()
             if options.show_log:
@@ -332,8 +415,9 @@
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    parser.add_argument("--behaviour", choices=sorted(BEHAVIOURS), default="ping")
+    parser.add_argument("--behaviour", choices=sorted(ALL_BEHAVIOURS), default="ping")
     parser.add_argument("--senders", type=int, default=6)
+    parser.add_argument("--processes", type=int, default=1, help="that the senders are spread over")
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--leave", action="store_true", help="senders leave after each write")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,6 +34,7 @@
         seconds=DURATION,
         tree=ROOT,
         senders=senders,
+        processes=1,
         behaviour="ping",
         leave=False,
     )
