Queue new connections in a common flow, so that opening connections starves no kept one

Cause: a new connection started at FairQueue.virtual_time, the used time of what was served last without a credit. Any connection that had had a turn stood behind it, and as what a closed connection has used is forgotten, there was always a new one, so that virtual_time never moved. Start-time fair queueing as published has the same weakness where flows cost nothing.

Change: before their first turn, connections wait in a common flow in order of arrival. After its first turn a connection starts behind what the common flow had used, by its own charge. So virtual_time moves with every connection that is opened, and neither one turn a connection nor a short first turn and a second one puts anybody before a modest kept connection. A connection that ends while it waits leaves the queue, since it would stay there without a descriptor that bounds their number.

--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -6,7 +6,7 @@
 
 import hiredis
 import pytest
-from hostile_clients import ANSWER_GRACE, BEHAVIOURS, parse_options, run
+from hostile_clients import ANSWER_GRACE, BEHAVIOURS, RECONNECTING_BEHAVIOURS, parse_options, run
 from netkit import WAIT_TIMEOUT, GatewayHarness, harness_with_server, pack_request, run_on_uvloop
 
 from thymehinge import interface as api
@@ -87,6 +87,56 @@
     run_on_uvloop(test())
 
 
+def test_kept_connection_is_served_while_others_connect_anew(monkeypatch):
+    """Guards against kept connections that starve while others open a new connection for each command."""
+
+    async def test() -> None:
+        harness, _ = await harness_with_server()
+        served = make_commands_slow(harness, monkeypatch)
+        usual = await harness.connect_client()
+        usual.write(PING)
+        await usual.read()
+
+        async def connect_anew() -> None:
+            while len(served) < 5000:
+                client = await harness.connect_client()
+                client.write(PING)
+                await client.read()
+                client.writer.close()
+
+        senders = [asyncio.create_task(connect_anew()) for _ in range(40)]
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while len(served) < 200:
+                await asyncio.sleep(0)
+            sent_at = harness.driver.clock()
+            usual.write(pack_request())
+            await harness.wait_for_event(api.Request)
+        assert harness.driver.clock() - sent_at < ANSWER_GRACE
+        for sender in senders:
+            sender.cancel()
+
+    run_on_uvloop(test())
+
+
+@pytest.mark.parametrize("behaviour", sorted(RECONNECTING_BEHAVIOURS))
+def test_usual_requests_are_answered_in_time_beside_senders_that_connect_anew(behaviour):
+    options = [
+        "--behaviour",
+        behaviour,
+        "--senders",
+        "60",
+        "--processes",
+        "6",
+        "--seconds",
+        "4",
+        "--seed",
+        "47",
+    ]
+    results, peak, code = run(parse_options(options))
+    assert (results.late, results.missing, code) == ([], 0, None)
+    assert results.sent and peak < 192
+
+
 @pytest.mark.parametrize("behaviour", sorted(BEHAVIOURS))
 def test_usual_requests_are_answered_in_time_beside_hostile_senders(behaviour):
     results, peak, code = run(
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -78,7 +78,6 @@
         "clients",
         "command_started_at",
         "discards_input",
-        "had_turn",
         "held_bytes",
         "idle_since",
         "invalid_commands",
@@ -105,9 +104,8 @@
         self.phase = Phase.OPEN
         self.pipeline_full = self.batching = self.slow_reader = self.discards_input = False
         self.queued_at = 0.0  # when it last began to wait for a turn
-        self.had_turn = False  # whether it has ever had a turn
         self.queued = False  # whether it waits for its turn to process commands, or has it
-        self.used_time = clients.queue.virtual_time  # see FairQueue; no credit for a new connection
+        self.used_time: float | None = None  # see FairQueue
         self.invalid_commands, self.idle_since = 0, clients.clock()  # idle_since: initially the connect time
         self.command_started_at = math.inf  # when the current partial command was first seen
         self.held_bytes = 0  # for pending requests, replies, and unparsed data
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -105,8 +105,7 @@
     def run_turn(self, connection: ClientConnection, started_at: float) -> float:
         """Process a connection's commands for CONNECTION_TURN, and return the time at its end."""
         needs_turn = False
-        self.report.record_turn(started_at - connection.queued_at, is_first=not connection.had_turn)
-        connection.had_turn = True
+        self.report.record_turn(started_at - connection.queued_at, is_first=connection.used_time is None)
         try:
             needs_turn = connection.process_commands(started_at + CONNECTION_TURN)
         except Exception:
@@ -227,6 +226,8 @@
         self.read_paused.discard(connection)
         self.lingering.pop(connection, None)
         self.connections.discard(connection)
+        if connection.queued:
+            self.queue.remove(connection)
         self.open_connections -= 1
         self.resume_accepting()
 
