Lower the credit of silent connections, all of which may use it before a busy one

A connection that used nothing for a while came first for 10 ms of processor time, so 340 connections (a third of 1,024 descriptors) that are silent and then send at once came before a busy connection, such as a front's, for 3.4 s of processor time. The credit is 1 ms now, which is several requests.

Both new tests failed before: in the queue alone the busy connection had its turn after 6,800 turns of 0.5 ms, and beside 100 connections in one process a request came after 1.15 s of the gateway's clock (70 connections now).

--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -111,6 +111,19 @@
     assert max(waits) * TURN < ANSWER_GRACE / 2
 
 
+def test_burst_of_idle_connections_does_not_delay_a_busy_one_for_long():
+    """Guards against credits that are bounded for each connection, but not in sum."""
+    queue = FairQueue()
+    busy, idle = flow(queue), [flow(queue) for _ in range(MAX_CONNECTIONS - 1)]
+    queue.add(busy)
+    serve(queue, 100)
+    assert queue.pop() is busy
+    for connection in (*idle, busy):
+        queue.add(connection)
+    turns = serve(queue, 10_000)
+    assert turns.index(busy) * TURN < ANSWER_GRACE
+
+
 def test_new_connections_are_served_in_order_of_arrival():
     queue = FairQueue()
     connections = [Connection() for _ in range(5)]
@@ -139,7 +152,7 @@
 
 
 def test_short_first_turn_is_charged_for_opening_and_closing_too():
-    """Guards against first turns that cost next to nothing, as opening and closing take time outside turns."""
+    """Guards against first turns that cost next to nothing: opening and closing take time outside turns."""
     queue = FairQueue()
     queue.add(new := Connection())
     queue.charge(queue.pop(), TURN / 100)
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -118,6 +118,31 @@
     run_on_uvloop(test())
 
 
+def test_burst_on_idle_connections_does_not_delay_a_busy_one(monkeypatch):
+    """Guards against many connections that were silent, and may all use their credit before a busy one."""
+
+    async def test() -> None:
+        harness, _ = await harness_with_server()
+        served = make_commands_slow(harness, monkeypatch)
+        busy, *idle = [await harness.connect_client() for _ in range(71)]
+        for client in (*idle, busy):
+            client.write(PING if client is not busy else PING * 100)
+            await client.read()
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while len(served) < 170:
+                await asyncio.sleep(0)
+            sent_at = harness.driver.clock()
+            for client in idle:
+                client.write(PING * 20)
+            while len(harness.driver.clients.queue) < len(idle):
+                await asyncio.sleep(0)
+            busy.write(pack_request())
+            await harness.wait_for_event(api.Request)
+        assert harness.driver.clock() - sent_at < ANSWER_GRACE
+
+    run_on_uvloop(test())
+
+
 @pytest.mark.parametrize("behaviour", sorted(RECONNECTING_BEHAVIOURS))
 def test_usual_requests_are_answered_in_time_beside_senders_that_connect_anew(behaviour):
     options = [
--- a/thymehinge/net/fair_queue.py
+++ b/thymehinge/net/fair_queue.py
@@ -16,8 +16,9 @@
 import heapq
 from typing import Protocol
 
-# A connection that used less than the others comes first for this long, however long it used nothing.
-MAX_CREDIT = 0.01  # seconds of processor time
+# A connection that used less than the others comes first for this long, however long it used nothing. All
+# connections together may have this credit at once, and one without a credit waits for them.
+MAX_CREDIT = 0.001  # seconds of processor time
 MAX_CHARGE = 0.002  # seconds for one turn; the process may have waited for a processor for longer
 MIN_FIRST_CHARGE = 0.0005  # seconds for a first turn, as accepting and closing take time outside turns
 
