Give new connections half of the time together, however few they are

It has as many shares as all kept connections together now: who is new and modest does not wait for those that always have input waiting, and these lose half at most.

--- a/thymehinge/net/fair_queue.py
+++ b/thymehinge/net/fair_queue.py
@@ -6,9 +6,10 @@
 
 What a connection has used is forgotten once it is closed, so that whoever opens connections again and again
 would always have used least. New connections therefore have no place of their own: until its first turn, each
-waits in a common flow, in order of arrival, which is charged for all of them. After it, a connection starts
-behind what the common flow had used, by a turn at least. However many connections are opened, one that uses
-little waits for a bounded number of turns.
+waits in a common flow, in order of arrival. The flow is charged for all of them and has as many shares as all
+other connections that wait. After its first turn, a connection starts behind what the common flow had used,
+by a turn at least. However many connections are opened, one that uses little waits for a bounded number of
+turns.
 """
 
 from __future__ import annotations
@@ -84,11 +85,4 @@
             return
         duration = max(duration, MIN_FIRST_CHARGE)
         flow.used_time = self.new_used_time + duration
-        self.new_used_time += duration / self.share_of_new_connections()
-
-    def share_of_new_connections(self) -> int:
-        """Return how many connections' shares the common flow has.
-
-        One for each new connection that waits, but together no more than all other connections that wait.
-        """
-        return max(1, min(len(self.waiting_new) + 1, len(self.waiting)))
+        self.new_used_time += duration / max(1, len(self.waiting))  # as many shares as all others together
