Keep connections that are in use while silent new ones hold their share of descriptors

With all descriptors of clients in use, silent connections had a grace of 0.2 s, and while none had used it up, the connection that was idle for longest was closed, even a tenth of a second after its last answer. So a crowd that connects and says nothing closed the usual clients' connections one by one, and their requests crossed the close.

test_used_connection_is_not_evicted_for_silent_ones and the case with many silent connections fail without the rule.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -35,6 +35,7 @@
 
 from thymehinge.net import clients
 from thymehinge.net.driver import RESERVED_DESCRIPTORS, SERVER_CONNECTION_FRACTION
+from thymehinge.net.eviction import KEPT_GRACE, choose_evicted
 
 MAX_SOCKETS = 128  # descriptors of the process, by its rlimit and by its configuration
 # Descriptors left for clients.
@@ -357,3 +358,57 @@
         assert [str(await client.read()) for client in open_clients] == ["ERR starting"] * 3
 
     run_on_uvloop(test())
+
+
+@dataclass(frozen=True, eq=False)
+class StubConnection:
+    """The part of a client connection that eviction depends on; `idle_since` is in seconds."""
+
+    idle_since: float
+
+
+async def connect_silent_clients(harness: GatewayHarness, count: int) -> list[RespConnection]:
+    """Connect clients that say nothing, as many as the gateway accepts until it pauses accepting."""
+    silent = [await harness.connect_client() for _ in range(count)]
+    async with asyncio.timeout(WAIT_TIMEOUT):
+        while not harness.driver.clients.accept_paused:
+            await asyncio.sleep(0)
+    return silent
+
+
+def test_used_connection_is_not_evicted_for_silent_ones():
+    """Guards kept connections between requests, which were closed one by one for a crowd of silent ones."""
+
+    async def test() -> None:
+        requests = numbered_requests()
+        harness, kept_clients = await harness_with_idle_clients(requests)
+        now = harness.driver.clients.clock()
+        gateway_clients = harness.driver.clients
+        gateway_clients.max_connections = 2 * MAX_CLIENTS
+        silent = await connect_silent_clients(harness, MAX_CLIENTS + 10)
+        gateway_clients.evict_connection()
+        now += 2 * clients.FIRST_REQUEST_GRACE
+        gateway_clients.clock = lambda: now
+        gateway_clients.sweep()
+        new_client = await harness.connect_client()
+        new_client.write(next(requests))
+        assert await new_client.read() == b"s1" and await silent[0].wait_closed()
+        for client in kept_clients:
+            client.write(next(requests))
+            assert await client.read() == b"s1"
+
+    run_on_uvloop(test())
+
+
+@pytest.mark.parametrize(
+    ("silent_count", "idle_for", "kept"),
+    [(25, 0.0, True), (24, 0.0, False), (25, KEPT_GRACE + 0.1, False)],
+    ids=["many silent", "few silent", "unused"],
+)
+def test_connection_in_use_is_kept_while_silent_ones_hold_their_share(silent_count, idle_for, kept):
+    """New connections that will be used find a place, as a few silent ones protect no other connection."""
+    now = 100.0
+    idle_connection = StubConnection(now - idle_for)
+    silent = {StubConnection(now): None for _ in range(silent_count)}
+    evicted = choose_evicted(silent, {idle_connection: None}, {}, max_connections=100, now=now)
+    assert evicted is (None if kept else idle_connection)
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -11,7 +11,7 @@
 | `Clients.sweep`: a partial command times out            | the same; the partial command is discarded      |
 | `track_partial_command`: no memory for a partial one    | the same; the partial command is discarded      |
 | `Clients.sweep`: no first request, or idle for too long | none pending; unread data keeps it open         |
-| `Clients.evict_connection`: descriptors are needed      | none pending; partial commands are evicted last |
+| `Clients.evict_connection`: descriptors are needed      | none pending, see `choose_evicted`              |
 | `Clients.drain`: the process ends                       | pending, partial or unread ones keep it open    |
 | `Driver.abandon_all`: the drain reaches its deadline    | all pending are answered, then as for a drain   |
 | process exit, shortly before SIGKILL                    | replies that the client has not read are lost   |
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -11,6 +11,7 @@
 from thymehinge.net.arrivals import seconds_since_last_data, unread_bytes
 from thymehinge.net.client_connection import ANSWER_GRACE, READ_BUFFER_BYTES, ClientConnection
 from thymehinge.net.client_memory import ClientMemory
+from thymehinge.net.eviction import FIRST_REQUEST_GRACE, choose_evicted
 from thymehinge.net.exchange import AcceptedValues, Exchange
 from thymehinge.net.fair_queue import FairQueue
 from thymehinge.net.intake_report import IntakeReport
@@ -18,7 +19,6 @@
 
 MIN_SLOW_READER_TIMEOUT = 30.0  # seconds for which a client may always leave replies unread
 FIRST_REQUEST_TIMEOUT = 2.0  # seconds from connecting to the first request
-FIRST_REQUEST_GRACE = 0.2  # seconds in which a new connection is not evicted: its first request is in transit
 PARTIAL_COMMAND_TIMEOUT = 2.0  # seconds without data in the middle of a command
 IDLE_TIMEOUT = 10.0  # seconds between requests
 ACCEPT_RETRY_DELAY = 0.02  # seconds after a failed accept; memory or descriptors may be exhausted briefly
@@ -191,21 +191,10 @@
                 sock.close()
 
     def evict_connection(self) -> None:
-        """Close one connection without pending requests, if there is one that may be evicted.
-
-        The first choice is one that has sent no request within FIRST_REQUEST_GRACE, then the one idle for
-        longest, then one whose partial command is older than the same grace.
-        """
-        cutoff = self.clock() - FIRST_REQUEST_GRACE
-        silent = next(
-            (c for c in self.awaiting_first_request if c not in self.mid_command and c.idle_since <= cutoff),
-            None,
+        """Close one connection without pending requests, if there is one that may be evicted."""
+        evicted = choose_evicted(
+            self.awaiting_first_request, self.idle, self.mid_command, self.max_connections, self.clock()
         )
-        evicted = silent or next(iter(self.idle), None)
-        if evicted is None:
-            evicted = next(
-                (c for c in self.mid_command if not c.pending and c.command_started_at <= cutoff), None
-            )
         if evicted is not None:
             evicted.close_unless_unread()
 
