--- a/thymehinge/net/fair_queue.py
+++ b/thymehinge/net/fair_queue.py
@@ -6,10 +6,10 @@
 
 What a connection has used is forgotten once it is closed, so that whoever opens connections again and again
 would always have used least. New connections therefore have no place of their own: until its first turn, each
-waits in a common flow, in order of arrival. The flow is charged for all of them and has as many shares as all
-other connections that wait. After its first turn, a connection starts behind what the common flow had used,
-by a turn at least. However many connections are opened, one that uses little waits for a bounded number of
-turns.
+waits in a common flow, in order of arrival. The flow is charged for all of them and has NEW_FLOW_SHARES times
+as many shares as there are other connections that wait. After its first turn, a connection starts behind what
+the common flow had used, by a turn at least. However many connections are opened, one that uses little waits
+for a bounded number of turns.
 """
 
 from __future__ import annotations
@@ -19,8 +19,9 @@
 
 # A connection that used less than the others comes first for this long, however long it used nothing. All
 # connections together may have this credit at once, and one without a credit waits for them.
-MAX_CREDIT = 0.001  # seconds of processor time
+MAX_CREDIT = 0.0005  # seconds of processor time
 MAX_CHARGE = 0.002  # seconds for one turn; the process may have waited for a processor for longer
+NEW_FLOW_SHARES = 2  # of the common flow of new connections, for each other connection that waits
 MIN_FIRST_CHARGE = 0.0005  # seconds for a first turn, as accepting and closing take time outside turns
 
 
@@ -85,4 +86,4 @@
             return
         duration = max(duration, MIN_FIRST_CHARGE)
         flow.used_time = self.new_used_time + duration
-        self.new_used_time += duration / max(1, len(self.waiting))  # as many shares as all others together
+        self.new_used_time += duration / (NEW_FLOW_SHARES * max(1, len(self.waiting)))
