--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -143,6 +143,26 @@
     run_on_uvloop(test())
 
 
+def test_connection_that_ends_while_it_waits_leaves_the_queue(monkeypatch):
+    """Guards against connections that are kept in the queue, though no descriptor bounds their number."""
+
+    async def test() -> None:
+        harness, _ = await harness_with_server()
+        client = await harness.connect_client()
+        gateway_clients = harness.driver.clients
+        monkeypatch.setattr(gateway_clients, "schedule_queue", lambda: None)  # nobody has a turn
+        client.write(PING)
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while not gateway_clients.queue:
+                await asyncio.sleep(0)
+            client.writer.close()
+            while gateway_clients.connections:
+                await asyncio.sleep(0)
+        assert not gateway_clients.queue
+
+    run_on_uvloop(test())
+
+
 @pytest.mark.parametrize("behaviour", sorted(RECONNECTING_BEHAVIOURS))
 def test_usual_requests_are_answered_in_time_beside_senders_that_connect_anew(behaviour):
     options = [
