Tell why a gateway of a test run is not ready in time

The error has its log and exit code now. Checked: a port that another process takes between free_port and the gateway's start gives just this error, with "Address already in use" in the log.

--- a/tests/processkit.py
+++ b/tests/processkit.py
@@ -67,18 +67,30 @@
     log = path.with_suffix(".log")
     with log.open("w") as file:
         process = start_gateway(path, config, root=root, log=file, **environ)
-    host, port = config["listen"].rsplit(":", 1)
     try:
-        async with asyncio.timeout(start_timeout):
+        await wait_until_ready(process, config["listen"], start_timeout, log)
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+async def wait_until_ready(process: subprocess.Popen, address: str, timeout: float, log: Path) -> None:
+    """Wait until the gateway answers PING.
+
+    Raises TimeoutError after `timeout` seconds, with the gateway's log and exit code. If its port was taken,
+    the process that has it may not answer.
+    """
+    host, port = address.rsplit(":", 1)
+    try:
+        async with asyncio.timeout(timeout):
             while not await is_ready(host, int(port)):
                 assert process.poll() is None, (
                     f"gateway exited with code {process.returncode}: {log.read_text()}"
                 )
                 await asyncio.sleep(0.01)
-        yield process
-    finally:
-        process.kill()
-        process.communicate()
+    except TimeoutError:
+        raise TimeoutError(f"not ready, exit code {process.poll()}: {log.read_text()}") from None
 
 
 async def is_ready(host: str, port: int) -> bool:
