Move the turns of client connections into a module of their own

clients.py held the listener, the life of all connections and the sharing of processor time. The last is net/turns.py now; nothing else changed. The tests of both name the new places.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -81,7 +81,7 @@
     ),
     Mutation(
         "39 turns",
-        "thymehinge/net/clients.py",
+        "thymehinge/net/turns.py",
         "while self.queue and now < started_at + LOOP_TURN:",
         "while self.queue:",
         "tests/test_fair_share.py",
@@ -124,7 +124,7 @@
     Mutation(
         "47 ended connections",
         "thymehinge/net/clients.py",
-        "        if connection.queued:\n            self.queue.remove(connection)\n",
+        "        self.turns.remove(connection)\n",
         "",
         "tests/test_fair_share.py",
     ),
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -237,7 +237,7 @@
 
 def test_data_read_ahead_on_all_connections_is_bounded(monkeypatch):
     """Guards the memory limit against many connections whose commands wait for their turn."""
-    monkeypatch.setattr("thymehinge.net.clients.LOOP_TURN", 0.0)  # no turn: all data waits
+    monkeypatch.setattr("thymehinge.net.turns.LOOP_TURN", 0.0)  # no turn: all data waits
 
     async def test() -> None:
         limits = {"cores": 1.0, "memory_mb": 16, "sockets": 256}
@@ -263,7 +263,7 @@
 
 def test_arrival_marks_of_commands_that_wait_are_bounded(monkeypatch):
     """Guards the memory limit against small pieces that are read while earlier commands wait."""
-    monkeypatch.setattr("thymehinge.net.clients.LOOP_TURN", 0.0)
+    monkeypatch.setattr("thymehinge.net.turns.LOOP_TURN", 0.0)
 
     async def test() -> None:
         harness, _ = await harness_with_server()
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -134,7 +134,7 @@
             sent_at = harness.driver.clock()
             for client in idle:
                 client.write(PING * 20)
-            while len(harness.driver.clients.queue) < len(idle):
+            while len(harness.driver.clients.turns.queue) < len(idle):
                 await asyncio.sleep(0)
             busy.write(pack_request())
             await harness.wait_for_event(api.Request)
@@ -150,15 +150,15 @@
         harness, _ = await harness_with_server()
         client = await harness.connect_client()
         gateway_clients = harness.driver.clients
-        monkeypatch.setattr(gateway_clients, "schedule_queue", lambda: None)  # nobody has a turn
+        monkeypatch.setattr(gateway_clients.turns, "schedule", lambda: None)  # nobody has a turn
         client.write(PING)
         async with asyncio.timeout(WAIT_TIMEOUT):
-            while not gateway_clients.queue:
+            while not gateway_clients.turns.queue:
                 await asyncio.sleep(0)
             client.writer.close()
             while gateway_clients.connections:
                 await asyncio.sleep(0)
-        assert not gateway_clients.queue
+        assert not gateway_clients.turns.queue
 
     run_on_uvloop(test())
 
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -238,7 +238,7 @@
         """Continue with commands after a pause; the timeout of a partial command restarts."""
         self.command_started_at = math.inf
         if self.phase is Phase.OPEN and not self.is_blocked():
-            self.clients.enqueue(self)
+            self.clients.turns.enqueue(self)
 
     def is_blocked(self) -> bool:
         """Return whether commands have to wait for the client to read, or for earlier ones to be answered."""
@@ -299,7 +299,7 @@
         self.data_received(bytes(memoryview(self.clients.read_buffer)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        """Take in data and wait for a turn to process it, see `Clients.run_queue`."""
+        """Take in data and wait for a turn to process it, see `TurnScheduler`."""
         if self.phase is Phase.OPEN:
             if not self.has_waiting_commands():  # then the next command ends in the new data
                 self.arrival_times.discard_read()
@@ -311,7 +311,7 @@
             self.parser.feed(data)
             self.hold_unparsed()
             if not self.is_blocked():
-                self.clients.enqueue(self)
+                self.clients.turns.enqueue(self)
             self.update_reading()
 
     def process_commands(self, until: float) -> bool:
--- a/thymehinge/net/clients.py
+++ b/thymehinge/net/clients.py
@@ -13,9 +13,9 @@
 from thymehinge.net.client_memory import ClientMemory
 from thymehinge.net.eviction import FIRST_REQUEST_GRACE, choose_evicted
 from thymehinge.net.exchange import AcceptedValues, Exchange
-from thymehinge.net.fair_queue import FairQueue
 from thymehinge.net.intake_report import IntakeReport
 from thymehinge.net.request_ids import RequestIds
+from thymehinge.net.turns import TurnScheduler
 
 MIN_SLOW_READER_TIMEOUT = 30.0  # seconds for which a client may always leave replies unread
 FIRST_REQUEST_TIMEOUT = 2.0  # seconds from connecting to the first request
@@ -23,8 +23,6 @@
 IDLE_TIMEOUT = 10.0  # seconds between requests
 ACCEPT_RETRY_DELAY = 0.02  # seconds after a failed accept; memory or descriptors may be exhausted briefly
 ACCEPT_BATCH_SIZE = 16  # connections accepted in one event loop turn, so that a burst does not delay others
-CONNECTION_TURN = 0.0005  # seconds for which a connection's commands are processed before the next one's
-LOOP_TURN = 0.002  # seconds of one event loop turn for processing commands; sockets are polled in between
 
 log = logging.getLogger(__name__)
 
@@ -68,56 +66,17 @@
         self.slow_readers: dict[ClientConnection, float] = {}  # when writing to them was paused
         self.lingering: dict[ClientConnection, float] = {}  # closed by the gateway; when to abort
         self.read_paused: set[ClientConnection] = set()
-        self.queue, self.queue_scheduled = FairQueue(), False  # connections with data to process
         self.report = IntakeReport()
+        self.turns = TurnScheduler(self.loop, clock, self.report)  # of connections with data to process
         self.backlog_since: float | None = None  # since when connections may be waiting to be accepted
         self.ids = RequestIds(self.accepted_values.max_timeout, clock)
 
-    # Processor time.
-
     def longest_wait(self, now: float) -> float:
         """Return for how many seconds the connection that waits longest has waited for a turn."""
         return max(
             (now - connection.queued_at for connection in self.connections if connection.queued), default=0.0
         )
 
-    def enqueue(self, connection: ClientConnection) -> None:
-        """Have a connection's commands processed when it is its turn."""
-        if not connection.queued:
-            connection.queued, connection.queued_at = True, self.clock()
-            self.queue.add(connection)
-            self.schedule_queue()
-
-    def schedule_queue(self) -> None:
-        if not self.queue_scheduled:
-            self.queue_scheduled = True
-            self.loop.call_soon(self.run_queue)
-
-    def run_queue(self) -> None:
-        """Process commands for LOOP_TURN at most; the rest waits until the sockets have been polled."""
-        self.queue_scheduled = False
-        started_at = now = self.clock()
-        while self.queue and now < started_at + LOOP_TURN:
-            now = self.run_turn(self.queue.pop(), now)
-        if self.queue:
-            self.schedule_queue()
-
-    def run_turn(self, connection: ClientConnection, started_at: float) -> float:
-        """Process a connection's commands for CONNECTION_TURN, and return the time at its end."""
-        needs_turn = False
-        self.report.record_turn(started_at - connection.queued_at, is_first=connection.used_time is None)
-        try:
-            needs_turn = connection.process_commands(started_at + CONNECTION_TURN)
-        except Exception:
-            log.exception("unexpected exception while processing commands")
-            connection.abort()
-        ended_at = self.clock()
-        self.queue.charge(connection, ended_at - started_at)
-        if needs_turn:
-            connection.queued_at = ended_at
-            self.queue.add(connection)
-        return ended_at
-
     # Connections.
 
     def listen(self, listener: socket.socket) -> None:
@@ -216,8 +175,7 @@
         self.read_paused.discard(connection)
         self.lingering.pop(connection, None)
         self.connections.discard(connection)
-        if connection.queued:
-            self.queue.remove(connection)
+        self.turns.remove(connection)
         self.open_connections -= 1
         self.resume_accepting()
 
@@ -225,7 +183,7 @@
         """Record arrivals on paused connections, and close or abort connections that have timed out."""
         now = self.clock()
         self.memory.report(self.connections, now)
-        self.report.report(now, len(self.queue), self.longest_wait(now))
+        self.report.report(now, len(self.turns.queue), self.longest_wait(now))
         for connection in self.read_paused:
             connection.record_unread()
         for group, timeout in (
