Evict a silent connection behind one whose data is unread, in place of none

Since the grace counts from the connect, a request out of the backlog is past it when it is accepted, and stood first. Such connections are passed over now. The new test returned the connection with data before.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -365,6 +365,16 @@
     """The part of a client connection that eviction depends on; `idle_since` is in seconds."""
 
     idle_since: float
+    has_data: bool = False
+
+    def has_unread_input(self) -> bool:
+        return self.has_data
+
+
+def test_new_connection_with_unread_data_does_not_keep_silent_ones_open():
+    """Guards the places of silent clients behind a request out of the backlog that has not been read yet."""
+    arrived, silent = StubConnection(0.0, has_data=True), StubConnection(0.0)
+    assert choose_evicted({arrived: None, silent: None}, {}, {}, max_connections=100, now=100.0) is silent
 
 
 async def connect_silent_clients(harness: GatewayHarness, count: int) -> list[RespConnection]:
--- a/thymehinge/net/client_connection.py
+++ b/thymehinge/net/client_connection.py
@@ -146,9 +146,13 @@
 
     def close_unless_unread(self) -> None:
         """Close gracefully, unless data waits to be read or processed: it may contain a request."""
-        if not (self.queued or unread_bytes(self.sock)):
+        if not self.has_unread_input():
             self.close_gracefully()
 
+    def has_unread_input(self) -> bool:
+        """Return whether data waits to be read, or for a turn to be processed."""
+        return self.queued or unread_bytes(self.sock) > 0
+
     def close_transport(self) -> None:
         """Close with no command pending; written replies stay readable until the linger deadline."""
         self.phase = Phase.CLOSED
--- a/thymehinge/net/eviction.py
+++ b/thymehinge/net/eviction.py
@@ -30,11 +30,13 @@
     not closed for new ones while many of these say nothing: one of them soon will have used up its grace.
     """
     cutoff = now - FIRST_REQUEST_GRACE
-    overdue = next((c for c in silent if c.idle_since <= cutoff and c not in mid_command), None)
+    without_data = [c for c in silent if c not in mid_command]
+    overdue = next((c for c in without_data if c.idle_since <= cutoff and not c.has_unread_input()), None)
     if overdue is not None:
         return overdue
     longest_idle = next(iter(idle), None)
     if longest_idle is None:
         return next((c for c in mid_command if not c.pending and c.command_started_at <= cutoff), None)
-    is_kept = len(silent) >= SILENT_SHARE * max_connections and longest_idle.idle_since > now - KEPT_GRACE
+    many_are_silent = len(silent) >= SILENT_SHARE * max_connections
+    is_kept = many_are_silent and longest_idle.idle_since > now - KEPT_GRACE
     return None if is_kept else longest_idle
