Do not count partial commands among the silent connections that protect used ones

A fault of the new order of eviction, found by reading: connections with half a command count as silent, but are not evicted as such. The new test got None before.

--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -377,6 +377,13 @@
     assert choose_evicted({arrived: None, silent: None}, {}, {}, max_connections=100, now=100.0) is silent
 
 
+def test_partial_commands_do_not_count_as_silent_connections():
+    """Guards new clients: they would wait for the timeout of partial commands while others are idle."""
+    idle_connection, partial = StubConnection(100.0), {StubConnection(0.0): 99.0 for _ in range(50)}
+    evicted = choose_evicted(dict.fromkeys(partial), {idle_connection: None}, partial, 100, now=100.0)
+    assert evicted is idle_connection
+
+
 async def connect_silent_clients(harness: GatewayHarness, count: int) -> list[RespConnection]:
     """Connect clients that say nothing, as many as the gateway accepts until it pauses accepting."""
     silent = [await harness.connect_client() for _ in range(count)]
--- a/thymehinge/net/eviction.py
+++ b/thymehinge/net/eviction.py
@@ -37,6 +37,6 @@
     longest_idle = next(iter(idle), None)
     if longest_idle is None:
         return next((c for c in mid_command if not c.pending and c.command_started_at <= cutoff), None)
-    many_are_silent = len(silent) >= SILENT_SHARE * max_connections
+    many_are_silent = len(without_data) >= SILENT_SHARE * max_connections
     is_kept = many_are_silent and longest_idle.idle_since > now - KEPT_GRACE
     return None if is_kept else longest_idle
